--- /dev/null
+++ b/packages/replica/src/types.ts
@@ -0,0 +1,175 @@
+import type * as protocol from '@ebonyweir/protocol'
+import type * as results from 'ts-results-es'
+
+/** Member of a control group as the log records it. */
+export type Member = protocol.replication.Member
+
+/** Message between two replicas. */
+export type Envelope = protocol.replication.ReplicationEnvelope
+
+/** Committed command handed to the state machine. */
+export interface AppliedEntry {
+  readonly index: number
+  readonly term: number
+  readonly payload: Uint8Array
+}
+
+/** Deterministic state machine driven by the log. Only command entries reach it. */
+export interface StateMachine<Outcome> {
+  /** Applies one committed command and returns its outcome. */
+  apply(entry: AppliedEntry): Outcome
+  /** Serializes the whole state as of the last applied entry. */
+  snapshot(): Uint8Array
+  /** Replaces the state by an earlier `snapshot()`. */
+  restore(bytes: Uint8Array): void
+}
+
+/** Sends messages to other replicas; may lose, delay, reorder or repeat them. */
+export interface Transport {
+  /** Queues one message for the member `envelope.to` at `address` ("host:port"). Must not block. */
+  send(envelope: Envelope, address: string): void
+}
+
+/** Cancels a timer. */
+export type CancelTimer = () => void
+
+/** Monotonic time source and timers of a replica. */
+export interface Clock {
+  /** Monotonic time in milliseconds. */
+  nowMs(): number
+  /** Calls `callback` once after `delayMs`. */
+  setTimer(delayMs: number, callback: () => void): CancelTimer
+}
+
+/** Addresses under which a leader is reached. */
+export interface LeaderAddress {
+  readonly id: string
+  /** Replication address, "host:port". */
+  readonly address: string
+  /** Address for operators and workers, "host:port". */
+  readonly httpAddress: string
+}
+
+/** Role of a replica in its group. A learner receives the log but does not vote. */
+export type Role = 'leader' | 'candidate' | 'follower' | 'learner'
+
+/** What a replica knows about the leadership of its group. */
+export interface Leadership {
+  readonly role: Role
+  readonly term: number
+  readonly leader: LeaderAddress | undefined
+  /**
+   * Whether this replica is the leader, has applied an entry of its own term and holds the leader lease, so that a
+   * read of its state machine is not stale.
+   */
+  readonly leaseValid: boolean
+}
+
+/** Command that was committed and applied locally. */
+export interface Committed<Outcome> {
+  readonly index: number
+  readonly term: number
+  readonly outcome: Outcome
+}
+
+/** Why a proposal was not committed by this replica. */
+export type ProposeError =
+  /** Not appended anywhere; the caller may go to `leader`. */
+  | { readonly kind: 'not-leader'; readonly leader: LeaderAddress | undefined }
+  /** Not appended anywhere: too many bytes wait for commitment. */
+  | { readonly kind: 'overloaded'; readonly waitingBytes: number }
+  /** Not appended anywhere: the payload exceeds `limitBytes`. */
+  | { readonly kind: 'too-large'; readonly limitBytes: number }
+  /** Appended, but leadership was lost before commitment; the command may still be committed. */
+  | { readonly kind: 'unknown'; readonly leader: LeaderAddress | undefined }
+  /** The replica is stopping or has stopped; an appended command may still be committed. */
+  | { readonly kind: 'stopped' }
+
+/** Why a group was not formed. */
+export interface BootstrapError {
+  readonly kind: 'already-formed' | 'not-in-members' | 'invalid-members'
+  readonly detail: string
+}
+
+/** One change of the membership. */
+export type MembersChange =
+  /** Adds a learner; the leader promotes it to voter by itself after it has caught up. */
+  | { readonly kind: 'add'; readonly member: Omit<Member, 'voter'> }
+  | { readonly kind: 'remove'; readonly id: string }
+
+/** Why a membership change was refused or is undecided. */
+export type MembersError =
+  | ProposeError
+  | { readonly kind: 'change-in-progress'; readonly detail: string }
+  | { readonly kind: 'invalid-change'; readonly detail: string }
+
+/** Replication progress of one member. */
+export interface MemberStatus extends Member {
+  /** Highest log index that the member reported as synced; undefined on a replica that is not the leader. */
+  readonly acknowledgedIndex: number | undefined
+  /** Time since the member's last message; undefined when unknown. */
+  readonly lastContactMs: number | undefined
+  /** Set when the member reported less than it had acknowledged earlier and has to be replaced. */
+  readonly refused: boolean
+}
+
+/** State of the membership as far as this replica knows it; complete on the leader. */
+export interface MembersStatus {
+  readonly members: readonly MemberStatus[]
+  readonly commitIndex: number
+  /** Whether the loss of any one member leaves a quorum that holds every committed entry. */
+  readonly repaired: boolean
+  /** Why `repaired` has its value. */
+  readonly reason: string
+}
+
+/** Fault that ends the replica: a broken invariant or a failing disk. */
+export interface FatalError {
+  readonly kind: 'disk' | 'invariant'
+  readonly detail: string
+}
+
+/** Why a replica could not be created from its data folder. */
+export interface OpenError {
+  readonly kind: 'disk' | 'damaged' | 'newer-version'
+  readonly detail: string
+}
+
+/** Options of `createReplica`. */
+export interface ReplicaOptions<Outcome> {
+  readonly cell: string
+  /** Folder that holds identity, log and snapshots. */
+  readonly dataFolder: string
+  readonly stateMachine: StateMachine<Outcome>
+  readonly transport: Transport
+  /** @default process monotonic clock and timers */
+  readonly clock?: Clock
+  /** Source of election jitter in [0, 1). @default Math.random */
+  readonly random?: () => number
+  /** Called at most once; the process must exit afterwards. */
+  readonly onFatal: (error: FatalError) => void
+  /** Called after role, term, leader or `leaseValid` may have changed. */
+  readonly onLeadershipChange?: (leadership: Leadership) => void
+}
+
+/** One replica of a control group. */
+export interface Replica<Outcome> {
+  /** Random identity created with the data folder. */
+  readonly id: string
+  /** Starts timers and takes part in the group. */
+  start(): void
+  /** Appends a command; resolves after its local apply with apply's outcome. */
+  propose(payload: Uint8Array): Promise<results.Result<Committed<Outcome>, ProposeError>>
+  /** Hands over a message from another replica; one of another cell or for another identity is dropped. */
+  deliver(envelope: Envelope): void
+  leadership(): Leadership
+  /** Forms the group with the same initial members on each replica; refused unless the log is empty. */
+  bootstrap(members: readonly Member[]): Promise<results.Result<undefined, BootstrapError>>
+  /** Changes the membership by one member; resolves once the change is committed. */
+  changeMembers(change: MembersChange): Promise<results.Result<Committed<undefined>, MembersError>>
+  membersStatus(): MembersStatus
+  /** Hands leadership to the most advanced other voter, or to `target`; resolves to whether another leader is known. */
+  transferLeadership(target?: string): Promise<boolean>
+  /** Transfers leadership if it holds it, then stops timers and closes files. */
+  stop(): Promise<void>
+}
