feat(operator): rules, settings, telemetry and the types of the HTTP interfaces

Cause: the control, entry and agent packages need the types of rules, settings, logs and of the operator and worker interfaces before they can be joined.

Change: parseRules, parseRuleRecord, digestRules, diffRules, resolveSettings, createLogger, createMetrics, first burn functions, operatorApi.ts and workerApi.ts. Fields are described once in a table that gives types, checks and error texts; agents import '@ebonyweir/rules/record'.

--- /dev/null
+++ b/packages/rules/src/diff.ts
@@ -0,0 +1,45 @@
+/** Digest and comparison of rules. */
+import * as crypto from 'node:crypto'
+
+import type * as types from './types.js'
+
+/** SHA-256 over operator and text, in hexadecimal; identifies one change for its resends. */
+export function digestRules(operator: string, text: string): string {
+  return crypto
+    .createHash('sha256')
+    .update(JSON.stringify([operator, text]))
+    .digest('hex')
+}
+
+/** How a rule differs between two rule sets; `moved` changes its line alone. */
+export interface RuleChange {
+  readonly key: string
+  readonly change: 'added' | 'removed' | 'changed' | 'moved'
+  readonly before?: types.Rule
+  readonly after?: types.Rule
+}
+
+/** Rules that differ, in the order of the newer file, then the removed ones. */
+export function diffRules(before: types.RuleSet, after: types.RuleSet): readonly RuleChange[] {
+  const old = new Map(before.rules.map((rule) => [rule.key, rule] as const))
+  const changes: RuleChange[] = []
+  for (const rule of after.rules) {
+    const previous = old.get(rule.key)
+    old.delete(rule.key)
+    const change = compare(previous, rule)
+    if (change === undefined) continue
+    changes.push({ key: rule.key, change, after: rule, ...(previous && { before: previous }) })
+  }
+  for (const rule of old.values()) changes.push({ key: rule.key, change: 'removed', before: rule })
+  return changes
+}
+
+function compare(
+  previous: types.Rule | undefined,
+  rule: types.Rule,
+): RuleChange['change'] | undefined {
+  if (previous === undefined) return 'added'
+  const same = previous.body === rule.body && previous.requestedBy === rule.requestedBy
+  if (!same) return 'changed'
+  return previous.line === rule.line ? undefined : 'moved'
+}
--- a/packages/rules/src/index.ts
+++ b/packages/rules/src/index.ts
@@ -1,1 +1,5 @@
-export {}
+/** Rules file: parsing, checks, digest and comparison. Agents import `./record` instead. */
+export * from './diff.js'
+export * from './parse.js'
+export * from './record.js'
+export * from './schema.js'
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,1 +1,4 @@
-export {}
+/** Settings of the daemon's roles. */
+export * from './addresses.js'
+export * from './schema.js'
+export * from './settings.js'
