--- /dev/null
+++ b/packages/control-state/src/capacityIndex.ts
@@ -0,0 +1,89 @@
+/** Index of workers by free capacity. An update and a look-up cost the same for any number of workers. */
+import type * as types from './types.js'
+
+/** Levels grow by a factor of two; a quarter core and 256 MiB are level 0. */
+const CPU_UNIT_MILLIS = 250
+const MEMORY_UNIT_MB = 256
+
+/** Workers whose free capacity has the same levels, in one failure domain. */
+export interface CapacityCell {
+  readonly failureDomain: string
+  readonly cpuLevel: number
+  readonly memoryLevel: number
+  readonly acceleratorLevel: number
+  readonly workers: readonly types.WorkerView[]
+}
+
+interface MutableCell extends CapacityCell {
+  readonly workers: types.WorkerView[]
+}
+
+interface Position {
+  readonly cell: MutableCell
+  readonly offset: number
+}
+
+const levelOf = (amount: number, unit: number): number =>
+  amount < unit ? (amount <= 0 ? -1 : 0) : Math.floor(Math.log2(amount / unit)) + 1
+
+export const cpuLevelOf = (cpuMillis: number): number => levelOf(cpuMillis, CPU_UNIT_MILLIS)
+export const memoryLevelOf = (memoryMb: number): number => levelOf(memoryMb, MEMORY_UNIT_MB)
+export const acceleratorLevelOf = (accelerators: number): number => levelOf(accelerators, 1)
+
+export interface CapacityIndex {
+  /** Cells that hold at least one worker. */
+  readonly cells: () => Iterable<CapacityCell>
+  readonly update: (worker: types.WorkerView) => void
+  readonly remove: (worker: string) => void
+  readonly clear: () => void
+}
+
+const keyOf = (worker: types.WorkerView): string => {
+  const { cpuMillis, memoryMb, accelerators } = worker.free
+  const levels = `${cpuLevelOf(cpuMillis)}/${memoryLevelOf(memoryMb)}/${acceleratorLevelOf(accelerators)}`
+  return `${levels}/${worker.failureDomain}`
+}
+
+const createCell = (worker: types.WorkerView): MutableCell => ({
+  failureDomain: worker.failureDomain,
+  cpuLevel: cpuLevelOf(worker.free.cpuMillis),
+  memoryLevel: memoryLevelOf(worker.free.memoryMb),
+  acceleratorLevel: acceleratorLevelOf(worker.free.accelerators),
+  workers: [],
+})
+
+export const createCapacityIndex = (): CapacityIndex => {
+  const cells = new Map<string, MutableCell>()
+  const positions = new Map<string, Position & { readonly key: string }>()
+
+  const remove = (name: string): void => {
+    const position = positions.get(name)
+    if (position === undefined) return
+    positions.delete(name)
+    const { workers } = position.cell
+    const last = workers.pop()
+    if (last !== undefined && last.worker !== name) {
+      workers[position.offset] = last
+      positions.set(last.worker, position)
+    }
+    if (workers.length === 0) cells.delete(position.key)
+  }
+
+  const update = (worker: types.WorkerView): void => {
+    const key = keyOf(worker)
+    const position = positions.get(worker.worker)
+    if (position?.key === key) return
+    remove(worker.worker)
+    const cell = cells.get(key) ?? createCell(worker)
+    cells.set(key, cell)
+    positions.set(worker.worker, { cell, key, offset: cell.workers.length })
+    cell.workers.push(worker)
+  }
+
+  const clear = (): void => {
+    cells.clear()
+    positions.clear()
+  }
+
+  return { cells: () => cells.values(), update, remove, clear }
+}
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -1,1 +1,11 @@
-export {}
+/** Durable control state of a cell: rules, jobs, tasks, workers, the ledger and request claims. */
+export * from './controlState.js'
+export * from './outcome.js'
+export * from './types.js'
+export * as capacityIndex from './capacityIndex.js'
+export * as limits from './limits.js'
+export * as placement from './placement.js'
+export * as taskId from './taskId.js'
+export type { ControlView, OpenClaim, TeamView } from './view.js'
+export type { RestoreError } from './snapshot.js'
+export { fits, addResources, subtractResources, NO_RESOURCES } from './records.js'
--- /dev/null
+++ b/packages/control-state/src/placement.ts
@@ -0,0 +1,48 @@
+/** Placement rules that apply to a job or a service. */
+import type * as types from './types.js'
+
+const cache = new WeakMap<types.RuleSet, Map<string, readonly types.PlacementRule[]>>()
+
+/** Bounds the cache, since names come from submitted jobs. */
+const MAX_CACHED_NAMES = 10_000
+
+/** Names that placement rules match: name and kind of a job, or the name of a service. */
+export type MatchNames = readonly string[]
+
+const compileGlob = (glob: string): RegExp => {
+  const parts = glob.split('*').map((part) => part.replace(/[.+?^${}()|[\]\\]/g, '\\$&'))
+  return new RegExp(`^${parts.join('.*')}$`)
+}
+
+const findRules = (set: types.RuleSet, names: MatchNames): readonly types.PlacementRule[] =>
+  set.placements.filter((rule) => {
+    const pattern = compileGlob(rule.match)
+    return names.some((name) => pattern.test(name))
+  })
+
+/** Every rule whose `match` covers one of the names; all of them have to hold. */
+export const placementRulesFor = (
+  set: types.RuleSet,
+  names: MatchNames,
+): readonly types.PlacementRule[] => {
+  if (set.placements.length === 0) return []
+  const known = cache.get(set) ?? new Map<string, readonly types.PlacementRule[]>()
+  cache.set(set, known)
+  const key = names.join(' ')
+  const found = known.get(key)
+  if (found !== undefined) return found
+  if (known.size >= MAX_CACHED_NAMES) known.clear()
+  const rules = findRules(set, names)
+  known.set(key, rules)
+  return rules
+}
+
+/** The rule that keeps the names out of the failure domain, if there is one. */
+export const placementRefusal = (
+  set: types.RuleSet,
+  names: MatchNames,
+  failureDomain: string,
+): types.PlacementRule | undefined =>
+  placementRulesFor(set, names).find(
+    (rule) => rule.failureDomains.length > 0 && !rule.failureDomains.includes(failureDomain),
+  )
--- /dev/null
+++ b/packages/control-state/src/taskEnds.ts
@@ -0,0 +1,114 @@
+/** Ends of attempts: only the current attempt of an assigned task can end, and it ends once. */
+import * as protocol from '@ebonyweir/protocol'
+import * as jobs from './jobs.js'
+import * as limits from './limits.js'
+import type * as outcome from './outcome.js'
+import * as records from './records.js'
+import * as serviceTasks from './serviceTasks.js'
+import * as taskId from './taskId.js'
+
+const { TaskOutcome } = protocol.command
+
+const assignedTask = (tables: records.Tables, task: string): records.TaskRecord | undefined => {
+  const id = taskId.parseTaskId(task)
+  if (id === undefined) return undefined
+  const found =
+    id.kind === 'batch'
+      ? tables.tasks.get(task)
+      : tables.services.get(id.owner)?.tasks.get(id.number)
+  return found === undefined || found.worker === '' ? undefined : found
+}
+
+/** A worker that fails tasks of several jobs in a row is at fault itself; the scheduler reads this. */
+const recordHealth = (
+  tables: records.Tables,
+  task: records.TaskRecord,
+  ended: protocol.command.TaskOutcome,
+): void => {
+  const worker = tables.workers.get(task.worker)
+  if (worker === undefined) return
+  if (ended === TaskOutcome.COMPLETED) {
+    worker.failureStreak = 0
+    worker.failedJobs = []
+  }
+  if (ended !== TaskOutcome.FAILED) return
+  worker.failureStreak += 1
+  worker.lastFailureMs = tables.logTimeMs
+  const isNew = !worker.failedJobs.includes(task.owner)
+  if (isNew && worker.failedJobs.length < limits.MAX_FAILED_JOBS)
+    worker.failedJobs = [...worker.failedJobs, task.owner]
+}
+
+/** Returns the task's resources to its worker and clears the assignment. */
+const release = (tables: records.Tables, task: records.TaskRecord): void => {
+  const worker = tables.workers.get(task.worker)
+  if (worker !== undefined) {
+    worker.tasks.delete(task.task)
+    worker.free = records.addResources(worker.free, task.resources)
+    tables.capacity.update(worker)
+  }
+  tables.stopping.delete(task)
+  task.worker = ''
+  task.workerIncarnation = 0
+  task.attempt += 1
+}
+
+const settleBatch = (
+  tables: records.Tables,
+  task: records.TaskRecord,
+  ended: protocol.command.TaskOutcome,
+): void => {
+  const job = tables.jobs.get(task.owner)
+  if (job === undefined) return
+  const team = records.teamOf(tables, job.team)
+  team.used = records.subtractResources(team.used, task.resources)
+  job.assignedTasks -= 1
+  if (ended === TaskOutcome.EVICTED) job.evictions += 1
+  const isFinal = ended === TaskOutcome.COMPLETED || task.failures >= job.maxFailures
+  if (job.state !== 'active' || isFinal) tables.tasks.delete(task.task)
+  if (job.state !== 'active') return
+  if (ended === TaskOutcome.COMPLETED) job.completedTasks += 1
+  else if (isFinal) job.failedTasks += 1
+  else job.waiting.add(task.number)
+  jobs.refreshQueue(tables, job)
+  jobs.endIfDone(tables, job)
+}
+
+/** Ends the current attempt of an assigned task. */
+export const endAttempt = (
+  tables: records.Tables,
+  task: records.TaskRecord,
+  ended: protocol.command.TaskOutcome,
+  checkpoint: string,
+): void => {
+  recordHealth(tables, task, ended)
+  if (ended === TaskOutcome.FAILED) {
+    task.failures += 1
+    task.failedOn = task.worker
+  }
+  if (checkpoint !== '') task.checkpoint = checkpoint
+  release(tables, task)
+  if (task.kind === 'batch') settleBatch(tables, task, ended)
+  else serviceTasks.refreshService(tables, records.serviceOf(tables, task.owner))
+}
+
+const endOne = (
+  tables: records.Tables,
+  end: protocol.command.TaskEnd,
+): outcome.EndResult['result'] => {
+  const task = assignedTask(tables, end.task)
+  if (task?.attempt !== end.attempt) return 'stale'
+  endAttempt(tables, task, end.outcome, end.checkpoint)
+  return 'ended'
+}
+
+export const endTasks = (
+  tables: records.Tables,
+  command: protocol.command.EndTasks,
+): outcome.Outcome => {
+  const results = command.ends.map((end) => {
+    const { task, attempt } = end
+    return { task, attempt, result: endOne(tables, end) }
+  })
+  return { kind: 'tasksEnded', results }
+}
