feat(stand-ins): fake worker, endpoint, caller and TCP relay with observer's records

Cause: the roles need the outside world as real processes from the start.

Change: four stand-ins as libraries and executables; each appends what it saw to a JSON lines record. The worker's leases, start validity and epoch floor can each be switched off for a test that must see its check fail.

--- /dev/null
+++ b/packages/stand-ins/__tests__/standIns.spec.ts
@@ -0,0 +1,90 @@
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+
+const { describe, expect, test } = vitest
+
+const silent = standIns.record.createRecorder('', 'test')
+
+const openPath = async (behaviour: standIns.fakeEndpoint.EndpointBehaviour) => {
+  const endpoint = await standIns.fakeEndpoint.createFakeEndpoint({
+    endpoint: 'e1',
+    service: 'desk',
+    failureDomain: 'a',
+    agentAddress: '',
+    recorder: silent,
+    ...behaviour,
+  })
+  const relay = await standIns.relay.createRelay({ target: `127.0.0.1:${endpoint.port}` })
+  const caller = standIns.fakeCaller.createFakeCaller({
+    caller: 'c1',
+    entries: [relay.address],
+    recorder: silent,
+    giveUpMs: 1500,
+    connections: 1,
+  })
+  const close = async () => {
+    await caller.close()
+    relay.close()
+    endpoint.close()
+  }
+  return { endpoint, relay, caller, close }
+}
+
+describe('caller, relay and endpoint', () => {
+  interface Case {
+    readonly name: string
+    readonly behaviour: standIns.fakeEndpoint.EndpointBehaviour
+    readonly mode: standIns.relay.RelayMode
+    readonly expected: { readonly status: number; readonly executions: number }
+  }
+  const cases: readonly Case[] = [
+    {
+      name: 'a whole answer',
+      behaviour: { paddingBytes: 100_000 },
+      mode: { action: 'pass' },
+      expected: { status: 200, executions: 2 },
+    },
+    {
+      name: 'an answer cut by the endpoint',
+      behaviour: { paddingBytes: 1000, cutEvery: 2 },
+      mode: { action: 'pass' },
+      expected: { status: 0, executions: 2 },
+    },
+    {
+      name: 'a connection that lost its state',
+      behaviour: {},
+      mode: { action: 'drop', scope: 'old' },
+      expected: { status: 0, executions: 1 },
+    },
+    {
+      name: 'answers that are dropped',
+      behaviour: {},
+      mode: { action: 'drop', direction: 'toClient' },
+      expected: { status: 0, executions: 2 },
+    },
+  ]
+
+  // Guards against a stand-in that reports a cut or lost answer as whole, or a relay that cuts audibly.
+  test.each(cases)('$name', async ({ behaviour, mode, expected }) => {
+    const path = await openPath(behaviour)
+    const first = await path.caller.send({ service: 'desk' })
+    expect(first).toMatchObject({ status: 200, whole: true, matched: true })
+    path.relay.change(mode)
+    const second = await path.caller.send({ service: 'desk' })
+    const { executions } = path.endpoint.status()
+    expect({ status: second.status, executions }).toEqual(expected)
+    await path.close()
+  })
+
+  // Guards against a relay whose lost connections also block the new ones, or that loses held bytes.
+  test('held bytes arrive after the relay passes again', async () => {
+    const path = await openPath({})
+    path.relay.change({ action: 'hold' })
+    const pending = path.caller.send({ service: 'desk' })
+    await new Promise((resolve) => setTimeout(resolve, 200))
+    expect(path.endpoint.status().executions).toBe(0)
+    path.relay.change({ action: 'pass' })
+    expect(await pending).toMatchObject({ status: 200, matched: true })
+    await path.close()
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/bin/fakeWorker.ts
@@ -0,0 +1,91 @@
+/** Executable: one process that hosts one or many fake workers. */
+import * as undici from 'undici'
+import * as fakeEndpoint from '../fakeEndpoint.js'
+import * as fakeWorker from '../fakeWorker.js'
+import * as json from '../json.js'
+import type * as wire from '../workerWire.js'
+import * as flagsOf from './flags.js'
+
+const flags = flagsOf.parseFlags(process.argv.slice(2))
+const recorder = flagsOf.recorderOf(flags, flags.text('name'))
+const count = flags.number('count', 1)
+const failureDomains = flags.list('failureDomain')
+const agentAddress = flags.text('agentAddress', '')
+const dispatcher = new undici.Agent({ connections: count + 8 })
+const endpoints = new Map<string, Promise<fakeEndpoint.FakeEndpoint>>()
+
+const openEndpoint = (directive: wire.StartDirective, failureDomain: string) => {
+  if (agentAddress === '') return
+  const endpoint = `${directive.task}@${directive.attempt}`
+  endpoints.set(
+    directive.task,
+    fakeEndpoint.createFakeEndpoint({
+      endpoint,
+      service: directive.service,
+      failureDomain,
+      agentAddress,
+      slots: flags.number('slots', 8),
+      connections: flags.number('connections', 64),
+      serviceTimeMs: flags.number('serviceTimeMs', 5),
+      recorder,
+    }),
+  )
+}
+
+const closeEndpoint = (directive: wire.StartDirective) => {
+  const endpoint = endpoints.get(directive.task)
+  endpoints.delete(directive.task)
+  void endpoint?.then((opened) => {
+    opened.close()
+  })
+}
+
+const createOne = (index: number): fakeWorker.FakeWorker => {
+  const failureDomain = failureDomains[index % failureDomains.length] ?? ''
+  const name = flags.text('name')
+  return fakeWorker.createFakeWorker({
+    cell: flags.text('cell'),
+    worker: count === 1 ? name : `${name}-${index}`,
+    failureDomain,
+    rack: flags.text('rack', `${failureDomain}-${Math.floor(index / 3)}`),
+    controlAddresses: flags.list('control'),
+    capacity: {
+      cpuMillis: flags.number('cpuMillis', 16_000),
+      memoryMb: flags.number('memoryMb', 60_000),
+      accelerators: flags.number('accelerators', 0),
+    },
+    incarnation: flags.has('incarnation') ? flags.number('incarnation', 0) : undefined,
+    recorder,
+    dispatcher,
+    tickMs: flags.number('tickMs', 50),
+    runMs: flags.number('runMs', 2000),
+    failsEverything: flags.has('failsEverything'),
+    sizeFactor: flags.number('sizeFactor', 1),
+    usageNoise: flags.number('usageNoise', 0),
+    usageLagMs: flags.number('usageLagMs', 0),
+    guardsOff: flags.list('guardsOff') as readonly fakeWorker.WorkerGuard[],
+    onServiceStart: (directive) => {
+      openEndpoint(directive, failureDomain)
+    },
+    onServiceStop: closeEndpoint,
+  })
+}
+
+const workers = Array.from({ length: count }, (_, index) => createOne(index))
+const control = await json.serveControl(
+  {
+    'GET /status': () => workers.map((worker) => worker.status()),
+    'PUT /endpoints': (body) => {
+      for (const endpoint of endpoints.values()) {
+        void endpoint.then((opened) => {
+          opened.change(body as fakeEndpoint.EndpointBehaviour)
+        })
+      }
+    },
+  },
+  flags.number('controlPort', 0),
+)
+flagsOf.stopOnSignal(() => {
+  for (const worker of workers) worker.close()
+})
+flagsOf.announceReady({ controlPort: control.port })
--- /dev/null
+++ b/packages/stand-ins/src/bin/relay.ts
@@ -0,0 +1,23 @@
+/** Executable: one TCP relay, controlled over HTTP on loopback. */
+import * as json from '../json.js'
+import * as relays from '../relay.js'
+import * as flagsOf from './flags.js'
+
+const flags = flagsOf.parseFlags(process.argv.slice(2))
+const relay = await relays.createRelay({
+  target: flags.text('target'),
+  port: flags.number('port', 0),
+})
+const control = await json.serveControl(
+  {
+    'GET /status': () => relay.status(),
+    'PUT /mode': (body) => {
+      relay.change(body as relays.RelayMode)
+    },
+  },
+  flags.number('controlPort', 0),
+)
+flagsOf.stopOnSignal(() => {
+  relay.close()
+})
+flagsOf.announceReady({ port: relay.port, controlPort: control.port })
--- /dev/null
+++ b/packages/stand-ins/src/fakeCaller.ts
@@ -0,0 +1,277 @@
+/** Stand-in for a caller: single requests and bounded open-loop load against entries. */
+import * as http from 'node:http'
+import * as undici from 'undici'
+import * as echo from './echo.js'
+import * as record from './record.js'
+
+/** Options of a fake caller. */
+export interface FakeCallerOptions {
+  readonly caller: string
+  /** Addresses of the entries, "host:port". */
+  readonly entries: readonly string[]
+  readonly recorder: record.Recorder
+  /** Time after which the caller gives up, in milliseconds. @default 30000 */
+  readonly giveUpMs?: number
+  /** Connections to one entry. @default 64 */
+  readonly connections?: number
+}
+
+/** One request; a resend names the same token. */
+export interface CallerRequest {
+  readonly service: string
+  /** Names the work; the endpoint echoes it. @default a new token */
+  readonly token?: string
+  /** @default 'POST' */
+  readonly method?: 'GET' | 'POST' | 'PUT'
+  /** @default by method */
+  readonly idempotent?: boolean
+  readonly key?: string
+  /** @default the entries in turn */
+  readonly entry?: string
+  /** Bytes of request body. @default 32 */
+  readonly bodyBytes?: number
+  /** Value of `ebonyweir-timeout-ms`. @default none */
+  readonly timeoutMs?: number
+}
+
+/** What came back. Status 0 means that the connection broke. */
+export interface CallerResult {
+  readonly token: string
+  readonly status: number
+  readonly outcome: string
+  readonly requestId: string
+  readonly whole: boolean
+  readonly matched: boolean
+  readonly body: string
+  readonly latencyMs: number
+  /** False if nothing can have been sent. */
+  readonly sent: boolean
+}
+
+/** Bounded open-loop load. */
+export interface CallerLoad extends CallerRequest {
+  readonly ratePerSecond: number
+  readonly durationMs: number
+  /** Every request gets a key of its own. @default false */
+  readonly keyed?: boolean
+}
+
+/** Counts of a finished load. */
+export interface LoadResult {
+  readonly sent: number
+  readonly answered: number
+  readonly notRun: number
+  readonly unknown: number
+  readonly broken: number
+  /** Latencies of answered requests in milliseconds, ascending. */
+  readonly latenciesMs: readonly number[]
+}
+
+/** A fake caller. */
+export interface FakeCaller {
+  readonly send: (request: CallerRequest) => Promise<CallerResult>
+  /** Sends part of a body and closes the connection. */
+  readonly sendCutBody: (request: CallerRequest) => Promise<void>
+  readonly load: (load: CallerLoad) => Promise<LoadResult>
+  readonly close: () => Promise<void>
+}
+
+const MAX_LOAD_REQUESTS = 200_000
+const NOT_SENT = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH'])
+
+const codeOf = (error: unknown): string => {
+  const code = (error as { readonly code?: unknown }).code
+  return typeof code === 'string' ? code : String(error)
+}
+
+const headerOf = (headers: undici.Dispatcher.ResponseData['headers'], name: string): string => {
+  const value = headers[name]
+  return typeof value === 'string' ? value : (value?.[0] ?? '')
+}
+
+interface PreparedRequest {
+  readonly token: string
+  readonly entry: string
+  readonly idempotent: boolean
+  readonly method: 'GET' | 'POST' | 'PUT'
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  readonly key: string
+}
+
+/** Creates a fake caller. */
+export const createFakeCaller = (options: FakeCallerOptions): FakeCaller => {
+  const { caller, entries, recorder } = options
+  const dispatcher = new undici.Agent({ connections: options.connections ?? 64 })
+  const sends = new Map<string, number>()
+  let turn = 0
+  let tokens = 0
+
+  const prepare = (request: CallerRequest): PreparedRequest => {
+    const token = request.token ?? `${caller}-${process.pid}-${tokens++}`
+    const method = request.method ?? 'POST'
+    const idempotent = request.idempotent ?? method !== 'POST'
+    const body = Buffer.from(
+      method === 'GET' ? '' : echo.digest(token).repeat(Math.ceil((request.bodyBytes ?? 32) / 64)),
+    ).subarray(0, request.bodyBytes ?? 32)
+    const headers: Record<string, string> = {
+      'ebonyweir-caller': caller,
+      'ebonyweir-idempotent': String(idempotent),
+      'content-type': 'text/plain',
+    }
+    if (request.key !== undefined) headers['idempotency-key'] = request.key
+    if (request.timeoutMs !== undefined) headers['ebonyweir-timeout-ms'] = String(request.timeoutMs)
+    return {
+      token,
+      method,
+      idempotent,
+      body,
+      headers,
+      entry: request.entry ?? entries[turn++ % entries.length] ?? '',
+      path: `/services/${request.service}/work?token=${encodeURIComponent(token)}&idempotent=${idempotent}`,
+      key: request.key ?? '',
+    }
+  }
+
+  const noteSent = (prepared: PreparedRequest): number => {
+    const send = (sends.get(prepared.token) ?? 0) + 1
+    sends.set(prepared.token, send)
+    const { token, key, idempotent, entry } = prepared
+    recorder.note({ kind: 'requestSent', caller, token, send, key, idempotent, entry })
+    return send
+  }
+
+  const noteAnswer = (
+    prepared: PreparedRequest,
+    send: number,
+    response: undici.Dispatcher.ResponseData,
+    text: string,
+    startMs: number,
+  ): CallerResult => {
+    const outcome = headerOf(response.headers, 'ebonyweir-outcome')
+    const requestId = headerOf(response.headers, 'ebonyweir-request-id')
+    const { token } = prepared
+    const echoed = response.statusCode === 200
+    const { whole, matched } = echoed
+      ? echo.checkEcho(text, token, prepared.body)
+      : { whole: true, matched: true }
+    const status = response.statusCode
+    const detail = echoed ? '' : text.slice(0, 300)
+    recorder.note({
+      kind: 'requestAnswered',
+      caller,
+      token,
+      send,
+      status,
+      outcome,
+      requestId,
+      whole,
+      matched,
+      detail,
+    })
+    const latencyMs = record.monotonicMs() - startMs
+    return { token, status, outcome, requestId, whole, matched, body: text, latencyMs, sent: true }
+  }
+
+  const noteBroken = (
+    prepared: PreparedRequest,
+    send: number,
+    error: unknown,
+    startMs: number,
+  ): CallerResult => {
+    const detail = codeOf(error)
+    const sent = !NOT_SENT.has(detail)
+    const byCaller = (error as Error).name === 'TimeoutError'
+    const { token } = prepared
+    recorder.note({ kind: 'requestBroken', caller, token, send, sent, byCaller, detail })
+    const latencyMs = record.monotonicMs() - startMs
+    return {
+      token,
+      status: 0,
+      outcome: '',
+      requestId: '',
+      whole: false,
+      matched: false,
+      body: detail,
+      latencyMs,
+      sent,
+    }
+  }
+
+  const send = async (request: CallerRequest): Promise<CallerResult> => {
+    const prepared = prepare(request)
+    const number = noteSent(prepared)
+    const startMs = record.monotonicMs()
+    try {
+      const response = await undici.request(`http://${prepared.entry}${prepared.path}`, {
+        method: prepared.method,
+        headers: prepared.headers,
+        body: prepared.method === 'GET' ? undefined : prepared.body,
+        signal: AbortSignal.timeout(options.giveUpMs ?? 30_000),
+        dispatcher,
+      })
+      return noteAnswer(prepared, number, response, await response.body.text(), startMs)
+    } catch (error) {
+      return noteBroken(prepared, number, error, startMs)
+    }
+  }
+
+  const sendCutBody = (request: CallerRequest): Promise<void> =>
+    new Promise((resolve) => {
+      const prepared = prepare(request)
+      const number = noteSent(prepared)
+      const [host, port] = prepared.entry.split(':')
+      const outgoing = http.request({
+        host,
+        port,
+        method: prepared.method,
+        path: prepared.path,
+        headers: { ...prepared.headers, 'content-length': prepared.body.length },
+      })
+      outgoing.once('error', () => undefined)
+      outgoing.once('close', () => {
+        const { token } = prepared
+        const how = { sent: true, byCaller: true, detail: 'body cut by the caller' }
+        recorder.note({ kind: 'requestBroken', caller, token, send: number, ...how })
+        resolve()
+      })
+      outgoing.write(prepared.body.subarray(0, prepared.body.length / 2), () => {
+        setTimeout(() => outgoing.destroy(), 50)
+      })
+    })
+
+  const load = async (wanted: CallerLoad): Promise<LoadResult> => {
+    const total = Math.min(
+      MAX_LOAD_REQUESTS,
+      Math.round((wanted.ratePerSecond * wanted.durationMs) / 1000),
+    )
+    const startMs = record.monotonicMs()
+    const pending: Promise<CallerResult>[] = []
+    const { ratePerSecond, durationMs, keyed, ...request } = wanted
+    while (pending.length < total) {
+      const dueNow = ((record.monotonicMs() - startMs) * ratePerSecond) / 1000
+      while (pending.length < Math.min(dueNow, total)) {
+        const key = keyed ? `${caller}-${process.pid}-key-${tokens}` : request.key
+        pending.push(send({ ...request, key }))
+      }
+      if (record.monotonicMs() - startMs > durationMs + 5000) break
+      await new Promise((resolve) => setTimeout(resolve, 5))
+    }
+    return summarise(await Promise.all(pending))
+  }
+
+  return { send, sendCutBody, load, close: () => dispatcher.destroy() }
+}
+
+const summarise = (results: readonly CallerResult[]): LoadResult => ({
+  sent: results.length,
+  answered: results.filter((r) => r.status === 200).length,
+  notRun: results.filter((r) => r.outcome === 'not-run').length,
+  unknown: results.filter((r) => r.outcome === 'unknown').length,
+  broken: results.filter((r) => r.status === 0).length,
+  latenciesMs: results
+    .filter((r) => r.status === 200)
+    .map((r) => r.latencyMs)
+    .toSorted((a, b) => a - b),
+})
--- /dev/null
+++ b/packages/stand-ins/src/json.ts
@@ -0,0 +1,62 @@
+/** JSON over `node:http`, for the small control servers of the stand-ins. */
+import * as http from 'node:http'
+import type * as net from 'node:net'
+
+/** Reads a whole request body; undefined if the sender cut it. */
+export const readBody = async (request: http.IncomingMessage): Promise<Buffer | undefined> => {
+  const chunks: Buffer[] = []
+  try {
+    for await (const chunk of request) chunks.push(chunk as Buffer)
+  } catch {
+    return undefined
+  }
+  return request.complete ? Buffer.concat(chunks) : undefined
+}
+
+/** Sends a JSON answer. */
+export const sendJson = (response: http.ServerResponse, status: number, value: unknown): void => {
+  const body = Buffer.from(JSON.stringify(value))
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+  })
+  response.end(body)
+}
+
+/** Listens on a loopback port; 0 picks a free one. Resolves to the port. */
+export const listen = (server: net.Server, port: number): Promise<number> =>
+  new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, '127.0.0.1', () => {
+      resolve((server.address() as net.AddressInfo).port)
+    })
+  })
+
+/** One control route: takes the parsed body, gives the answer. */
+export type ControlRoute = (body: unknown) => unknown
+
+/** Starts a loopback control server with routes by "METHOD /path". Resolves to the port. */
+export const serveControl = async (
+  routes: Readonly<Record<string, ControlRoute>>,
+  port: number,
+): Promise<{ readonly port: number; readonly close: () => void }> => {
+  const server = http.createServer((request, response) => {
+    void readBody(request).then((body) => {
+      const route = routes[`${request.method ?? ''} ${request.url ?? ''}`]
+      if (route === undefined || body === undefined) {
+        sendJson(response, 404, { error: 'no such route' })
+        return
+      }
+      const parsed: unknown = body.length === 0 ? {} : JSON.parse(body.toString())
+      sendJson(response, 200, route(parsed) ?? {})
+    })
+  })
+  const bound = await listen(server, port)
+  return {
+    port: bound,
+    close: () => {
+      server.close()
+      server.closeAllConnections()
+    },
+  }
+}
