feat(stand-ins): audit of the observers' records

Cause: after each fault the promises have to be judged by what the stand-ins saw, not by the system's own counters.

Change: audit of task places, attempts, checkpoints, capacity, failure domains, executions, refusals, answers, leaving endpoints, shutdowns and revisions.

--- /dev/null
+++ b/packages/stand-ins/src/audit.ts
@@ -0,0 +1,65 @@
+/** Audit of a run by the observers' records. */
+import * as auditRequests from './auditRequests.js'
+import * as auditTasks from './auditTasks.js'
+import * as types from './auditTypes.js'
+import type * as record from './record.js'
+
+export type { AuditOptions, AuditRule, Finding } from './auditTypes.js'
+
+/** Result of an audit; the counts show what it had to judge. */
+export interface AuditResult {
+  readonly findings: readonly types.Finding[]
+  readonly counts: Readonly<Partial<Record<record.ObserverRecord['kind'], number>>>
+}
+
+const auditRevisionsSeen = (
+  records: readonly record.ObserverRecord[],
+  configMs: number,
+): readonly types.Finding[] => {
+  const accepted = types.ofKind(records, 'revisionAccepted')
+  // Revision 0 means that the process has no configuration in force and refuses new work.
+  const seen = types.ofKind(records, 'revisionSeen').filter((r) => r.revision > 0)
+  const perProcess = types.groupBy(seen, (r) => r.process)
+  return [...perProcess.values()].flatMap((views) =>
+    views.flatMap((view, index) => {
+      const floorBefore = Math.max(0, ...views.slice(0, index).map((v) => v.revision))
+      const floorDue = Math.max(
+        0,
+        ...accepted.filter((a) => a.atMs + configMs < view.askedMs).map((a) => a.revision),
+      )
+      const floor = Math.max(floorBefore, floorDue)
+      if (view.revision >= floor) return []
+      const detail = `${view.process} has revision ${view.revision} in force, expected ${floor} or later`
+      return [{ rule: 'revision went back' as const, detail, atMs: view.atMs }]
+    }),
+  )
+}
+
+const auditRevisionsAccepted = (
+  records: readonly record.ObserverRecord[],
+): readonly types.Finding[] => {
+  const accepted = types.groupBy(types.ofKind(records, 'revisionAccepted'), (r) => `${r.revision}`)
+  return [...accepted.values()].flatMap((group) => {
+    const other = group.find((r) => r.digest !== group[0]?.digest)
+    if (other === undefined) return []
+    const detail = `revision ${other.revision} was accepted with two contents`
+    return [{ rule: 'two changes under one revision' as const, detail, atMs: other.atMs }]
+  })
+}
+
+/** Judges the records of one run, given in any order. */
+export const audit = (
+  unordered: readonly record.ObserverRecord[],
+  options: types.AuditOptions = {},
+): AuditResult => {
+  const records = unordered.toSorted((a, b) => a.atMs - b.atMs)
+  const counts: Partial<Record<record.ObserverRecord['kind'], number>> = {}
+  for (const r of records) counts[r.kind] = (counts[r.kind] ?? 0) + 1
+  const findings = [
+    ...auditTasks.auditTasks(records, options),
+    ...auditRequests.auditRequests(records, options),
+    ...auditRevisionsSeen(records, options.configMs ?? 5000),
+    ...auditRevisionsAccepted(records),
+  ]
+  return { findings: findings.toSorted((a, b) => a.atMs - b.atMs), counts }
+}
--- a/packages/stand-ins/src/record.ts
+++ b/packages/stand-ins/src/record.ts
@@ -122,7 +122,13 @@
       readonly byCaller: boolean
       readonly detail: string
     }
-  | { readonly kind: 'processStarted'; readonly name: string; readonly processId: number }
+  | {
+      readonly kind: 'processStarted'
+      readonly name: string
+      readonly processId: number
+      /** Address at which callers reach it, "host:port"; empty for none. */
+      readonly address: string
+    }
   | {
       readonly kind: 'processSignalled'
       readonly name: string
