--- /dev/null
+++ b/packages/control/src/grpcServer.ts
@@ -0,0 +1,81 @@
+/** gRPC server of a control replica: replication, and the calls of entries and agents. */
+import * as grpc from '@grpc/grpc-js'
+import * as protocol from '@ebonyweir/protocol'
+import * as results from 'ts-results-es'
+import * as claims from './claims.js'
+import type * as context from './context.js'
+import * as processSync from './processSync.js'
+import * as transport from './transport.js'
+
+type AsyncHandler<Request, Reply> = (
+  request: Request,
+) => Promise<results.Result<Reply, Partial<grpc.StatusObject>>>
+
+const unary =
+  <Request, Reply>(handle: AsyncHandler<Request, Reply>): grpc.handleUnaryCall<Request, Reply> =>
+  (call, callback) => {
+    handle(call.request).then(
+      (result) => {
+        if (result.isOk()) callback(null, result.value)
+        else callback(result.error)
+      },
+      (error: unknown) => {
+        callback({ code: grpc.status.INTERNAL, details: String(error) })
+      },
+    )
+  }
+
+const replicationService = (
+  ctx: context.ControlContext,
+): protocol.replication.ReplicationServer => ({
+  deliver: (call, callback) => {
+    ctx.replica.deliver(call.request)
+    callback(null, {})
+  },
+})
+
+const controlService = (ctx: context.ControlContext): protocol.control.ControlServer => ({
+  syncEntry: (call, callback) => {
+    callback(null, processSync.syncEntry(ctx, call.request))
+  },
+  syncAgent: (call, callback) => {
+    callback(null, processSync.syncAgent(ctx, call.request))
+  },
+  claim: unary((request) => claims.claim(ctx, request)),
+  settle: unary((request) => claims.settle(ctx, request)),
+})
+
+export interface GrpcServer {
+  readonly start: () => Promise<results.Result<void, string>>
+  /** Finishes calls in progress, then closes; after `timeoutMs` it closes at once. */
+  readonly stop: (timeoutMs: number) => Promise<void>
+}
+
+export const createGrpcServer = (ctx: context.ControlContext): GrpcServer => {
+  const server = new grpc.Server(transport.CHANNEL_OPTIONS)
+  server.addService(protocol.replication.ReplicationService, { ...replicationService(ctx) })
+  server.addService(protocol.control.ControlService, { ...controlService(ctx) })
+
+  const start: GrpcServer['start'] = () =>
+    new Promise((resolve) => {
+      const { grpcAddress } = ctx.options
+      server.bindAsync(grpcAddress, grpc.ServerCredentials.createInsecure(), (error) => {
+        if (error === null) resolve(results.Ok(undefined))
+        else resolve(results.Err(`cannot listen on ${grpcAddress}: ${error.message}`))
+      })
+    })
+
+  const stop: GrpcServer['stop'] = (timeoutMs) =>
+    new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        server.forceShutdown()
+        resolve()
+      }, timeoutMs)
+      server.tryShutdown(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+
+  return { start, stop }
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+/** Control role of the daemon. */
+export * from './control.js'
+export * from './options.js'
--- a/packages/control/src/schemas.ts
+++ b/packages/control/src/schemas.ts
@@ -106,6 +106,10 @@
     .join('; ')
   return results.Err({
     status: 400,
-    body: { error: 'invalid', detail, outcome: 'not-run' } satisfies protocol.operatorApi.ErrorAnswer,
+    body: {
+      error: 'invalid',
+      detail,
+      outcome: 'not-run',
+    } satisfies protocol.operatorApi.ErrorAnswer,
   })
 }
--- a/packages/control/src/workerSync.ts
+++ b/packages/control/src/workerSync.ts
@@ -220,9 +220,7 @@
     startValidMs: protocol.limits.START_VALID_MS,
     nextSyncMs: ctx.options.workerSyncIntervalMs,
     ...directivesFor(ctx, term, sync),
-    ackEnded: mayAcknowledge
-      ? sync.ended.map(({ task, attempt }) => ({ task, attempt }))
-      : [],
+    ackEnded: mayAcknowledge ? sync.ended.map(({ task, attempt }) => ({ task, attempt })) : [],
   }
   return replies.ok(reply)
 }
