feat(requests): thin request path from caller to endpoint and back

Cause: the roles entry and agent had no code.

Change: packages routing, control-client (new workspace package: run npm i once after the merge, the lock file lists it), agent and entry: a request passes caller, entry, agent, endpoint and back whole; both roles sync with control and refuse work without a valid configuration.

--- /dev/null
+++ b/packages/agent/src/configSync.ts
@@ -0,0 +1,90 @@
+import * as controlClient from '@ebonyweir/control-client'
+import * as protocol from '@ebonyweir/protocol'
+import type * as agentOptions from './options.js'
+
+/** Periodic sync of the agent with control. */
+export interface ConfigSync {
+  readonly start: () => void
+  /** Syncs without waiting for the interval, for changes that control should know at once. */
+  readonly soon: () => void
+  readonly stop: () => void
+}
+
+export interface ConfigSyncHost {
+  readonly options: agentOptions.ResolvedAgentOptions
+  readonly view: controlClient.configView.ConfigView
+  readonly record: () => protocol.control.AgentRecord
+  readonly buckets: () => readonly protocol.control.ServiceBucket[]
+  readonly onConfig: (untilMs: number, outDetail: string) => void
+  readonly onFailure: () => void
+}
+
+/** Time for one sync: one silent replica and the next one fit into the config lease. */
+const SYNC_TIMEOUT_MS = 1_500
+
+/** Creates the sync loop. At most one sync is under way. */
+export const createConfigSync = (host: ConfigSyncHost): ConfigSync => {
+  const { options, view } = host
+  const control = controlClient.controlClient.createControlClient(options.controlAddresses)
+  let timer: NodeJS.Timeout | undefined
+  let busy = false
+  let again = false
+  let stopped = false
+
+  const outDetail = (): string => {
+    const rule = view.outRule(options.failureDomain)
+    if (rule === undefined) return ''
+    const { line, requestedBy } = rule
+    return `failure domain ${options.failureDomain} is out by line ${line} (${requestedBy})`
+  }
+
+  const sync = async (): Promise<void> => {
+    const sentAtMs = performance.now()
+    const reply = await control.syncAgent(
+      {
+        cell: options.cell,
+        agent: host.record(),
+        knownRevision: view.revision(),
+        buckets: host.buckets(),
+      },
+      SYNC_TIMEOUT_MS,
+    )
+    if (reply.isErr()) {
+      host.onFailure()
+      options.logger.warn('sync with control failed', { ...reply.error })
+      return
+    }
+    const { config } = reply.value
+    if (config === undefined) return
+    const applied = view.apply(config, sentAtMs)
+    if (applied.isErr()) {
+      options.logger.warn('configuration from control refused', { ...applied.error })
+      return
+    }
+    host.onConfig(sentAtMs + protocol.limits.CONFIG_LEASE_MS, outDetail())
+  }
+
+  const loop = async (): Promise<void> => {
+    if (busy) {
+      again = true
+      return
+    }
+    busy = true
+    clearTimeout(timer)
+    await sync()
+    busy = false
+    if (stopped) return
+    timer = setTimeout(() => void loop(), again ? 0 : options.syncIntervalMs)
+    again = false
+  }
+
+  return {
+    start: () => void loop(),
+    soon: () => void loop(),
+    stop: () => {
+      stopped = true
+      clearTimeout(timer)
+      control.close()
+    },
+  }
+}
--- /dev/null
+++ b/packages/agent/src/execution.ts
@@ -0,0 +1,393 @@
+import * as protocol from '@ebonyweir/protocol'
+import * as executionResult from './executionResult.js'
+import * as executionState from './executionState.js'
+
+type State = executionState.ExecutionState
+type Result = executionState.ExecutionResult
+
+/** What happened to the agent. */
+export type Input =
+  | { readonly kind: 'announce'; readonly announcement: Announcement }
+  | { readonly kind: 'withdraw'; readonly endpoint: string }
+  | { readonly kind: 'config'; readonly untilMs: number; readonly outDetail: string }
+  | { readonly kind: 'execute'; readonly request: ExecuteInput }
+  | { readonly kind: 'cancel'; readonly requestId: string }
+  | { readonly kind: 'resolve'; readonly requestId: string; readonly incarnation: number }
+  | { readonly kind: 'confirm'; readonly requestIds: readonly string[] }
+  | { readonly kind: 'ended'; readonly requestId: string; readonly result: Result }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'close' }
+
+export interface Announcement {
+  readonly endpoint: string
+  readonly service: string
+  readonly address: string
+  readonly slots: number
+  readonly connections: number
+  readonly leaving: boolean
+}
+
+/** The fields of an ExecuteRequest that decide whether and where it runs. */
+export interface ExecuteInput {
+  readonly requestId: string
+  readonly agentIncarnation: number
+  readonly agentTimeMs: number
+  readonly service: string
+  readonly endpoint: string
+  readonly caller: string
+  readonly timeoutMs: number
+  readonly retain: boolean
+}
+
+/** What the shell has to do. */
+export type Effect =
+  | { readonly kind: 'dispatch'; readonly requestId: string; readonly endpoint: string }
+  /** Answers every call that waits for this request id. */
+  | { readonly kind: 'reply'; readonly requestId: string; readonly result: Result }
+  | {
+      readonly kind: 'resolved'
+      readonly state: protocol.agent.ResolveState
+      readonly result?: Result | undefined
+    }
+  /** Closes the endpoint connection of a request that gave up its slot. */
+  | { readonly kind: 'abort'; readonly requestId: string }
+
+const { RefusalReason, ResolveState } = protocol.agent
+const { notRun, unknown } = executionResult
+
+/** Weight of the newest sample in the average service time. */
+const SERVICE_TIME_GAIN = 0.1
+
+const reply = (requestId: string, result: Result): Effect => ({ kind: 'reply', requestId, result })
+
+// Reasons for which no new work starts at this agent, whatever the endpoint.
+const refuseAll = (state: State, nowMs: number): Result | undefined => {
+  if (state.closing) return notRun(RefusalReason.SHUTTING_DOWN, 'the agent is shutting down')
+  if (nowMs >= state.configUntilMs) {
+    return notRun(RefusalReason.CONFIG_EXPIRED, 'the agent has no valid configuration')
+  }
+  if (state.outDetail !== '') return notRun(RefusalReason.FAILURE_DOMAIN_OUT, state.outDetail)
+  return undefined
+}
+
+const refuseAt = (
+  state: State,
+  name: string,
+  service: string | undefined,
+  nowMs: number,
+): Result | undefined => {
+  const endpoint = state.endpoints.get(name)
+  if (endpoint === undefined || endpoint.expiresAtMs <= nowMs) {
+    return notRun(RefusalReason.NO_ENDPOINT, `endpoint ${name} is not announced`)
+  }
+  if (service !== undefined && endpoint.service !== service) {
+    return notRun(RefusalReason.NO_ENDPOINT, `endpoint ${name} serves ${endpoint.service}`)
+  }
+  if (endpoint.leaving) return notRun(RefusalReason.LEAVING, `endpoint ${name} is leaving`)
+  return undefined
+}
+
+const settle = (
+  state: State,
+  requestId: string,
+  record: executionState.SettledRecord,
+  retain: boolean,
+): void => {
+  state.answerBytes += record.bytes
+  const table = retain ? state.retained : state.settled
+  table.set(requestId, record)
+}
+
+const dropAnswer = (state: State, table: State['settled'], requestId: string): void => {
+  const record = table.get(requestId)
+  if (record === undefined || record.bytes === 0) return
+  state.answerBytes -= record.bytes
+  table.set(requestId, { ...record, result: undefined, bytes: 0 })
+}
+
+// Oldest answers go first, those without an idempotency key before those with one.
+const boundAnswers = (state: State): void => {
+  for (const table of [state.settled, state.retained]) {
+    for (const requestId of table.keys()) {
+      if (state.answerBytes <= state.limits.retainedBytes) return
+      dropAnswer(state, table, requestId)
+    }
+  }
+}
+
+const evict = (state: State, nowMs: number): void => {
+  for (const table of [state.settled, state.retained]) {
+    for (const [requestId, record] of table) {
+      if (record.keepUntilMs > nowMs) break
+      dropAnswer(state, table, requestId)
+      table.delete(requestId)
+    }
+  }
+  for (const [requestId, record] of state.settled) {
+    if (record.settledAtMs + state.limits.unconfirmedMs > nowMs) break
+    dropAnswer(state, state.settled, requestId)
+  }
+}
+
+const settledOf = (state: State, requestId: string): executionState.SettledRecord | undefined =>
+  state.settled.get(requestId) ?? state.retained.get(requestId)
+
+const addRunning = (state: State, name: string, change: number): void => {
+  const endpoint = state.endpoints.get(name)
+  if (endpoint === undefined) return
+  state.endpoints.set(name, { ...endpoint, running: Math.max(0, endpoint.running + change) })
+}
+
+const start = (state: State, record: executionState.ActiveRecord, nowMs: number): Effect => {
+  const { requestId, endpoint } = record
+  state.active.set(requestId, { ...record, phase: 'running', startedAtMs: nowMs })
+  addRunning(state, endpoint, 1)
+  return { kind: 'dispatch', requestId, endpoint }
+}
+
+// The caller with the fewest running requests goes first, then the oldest request.
+const nextQueued = (state: State, endpoint: string): executionState.ActiveRecord | undefined => {
+  const running = new Map<string, number>()
+  for (const r of state.active.values()) {
+    if (r.phase === 'running') running.set(r.caller, (running.get(r.caller) ?? 0) + 1)
+  }
+  let best: executionState.ActiveRecord | undefined
+  for (const r of executionState.queuedFor(state, endpoint)) {
+    if (best === undefined || (running.get(r.caller) ?? 0) < (running.get(best.caller) ?? 0))
+      best = r
+  }
+  return best
+}
+
+const refuseQueued = (state: State, nowMs: number): readonly Effect[] => {
+  const effects: Effect[] = []
+  for (const record of state.active.values()) {
+    if (record.phase !== 'queued') continue
+    const refused =
+      refuseAll(state, nowMs) ??
+      refuseAt(state, record.endpoint, undefined, nowMs) ??
+      (record.deadlineMs <= nowMs
+        ? notRun(RefusalReason.DEADLINE, 'the deadline passed in the queue of the agent')
+        : undefined)
+    if (refused === undefined) continue
+    state.active.delete(record.requestId)
+    effects.push(reply(record.requestId, refused))
+  }
+  return effects
+}
+
+const fillSlots = (state: State, nowMs: number): readonly Effect[] => {
+  const effects: Effect[] = [...refuseQueued(state, nowMs)]
+  for (const name of state.endpoints.keys()) {
+    for (;;) {
+      const endpoint = state.endpoints.get(name)
+      if (endpoint === undefined || endpoint.running >= endpoint.slots) break
+      const next = nextQueued(state, name)
+      if (next === undefined) break
+      effects.push(start(state, next, nowMs))
+    }
+  }
+  return effects
+}
+
+// An endpoint that was forgotten and announces itself again still runs what it was given before.
+const runningAt = (state: State, endpoint: string): number =>
+  [...state.active.values()].filter((r) => r.phase === 'running' && r.endpoint === endpoint).length
+
+const announce = (state: State, a: Announcement, nowMs: number): readonly Effect[] => {
+  const known = state.endpoints.get(a.endpoint)
+  state.endpoints.set(a.endpoint, {
+    ...a,
+    expiresAtMs: nowMs + state.limits.announcementMs,
+    running: known?.running ?? runningAt(state, a.endpoint),
+    serviceTimeMs: known?.serviceTimeMs ?? 0,
+  })
+  return fillSlots(state, nowMs)
+}
+
+const known = (state: State, requestId: string): readonly Effect[] | undefined => {
+  if (!state.guards.dedup) return undefined
+  if (state.active.has(requestId)) return []
+  const settled = settledOf(state, requestId)
+  if (settled === undefined) return undefined
+  if (settled.phase === 'fenced') {
+    return [reply(requestId, notRun(RefusalReason.FENCED, 'fenced by an earlier Resolve'))]
+  }
+  const gone = unknown(RefusalReason.FENCED, 'it ran before and its answer is no longer kept')
+  return [reply(requestId, settled.result ?? gone)]
+}
+
+const refuseNew = (state: State, r: ExecuteInput, nowMs: number): Result | undefined => {
+  if (state.guards.stamps && r.agentTimeMs < nowMs - state.limits.rememberMs) {
+    return notRun(RefusalReason.STALE, 'the request is older than the records of the agent')
+  }
+  const refused = refuseAll(state, nowMs) ?? refuseAt(state, r.endpoint, r.service, nowMs)
+  if (refused !== undefined) return refused
+  if (r.timeoutMs <= 0) return notRun(RefusalReason.DEADLINE, 'the deadline passed before arrival')
+  const records = state.active.size + state.settled.size + state.retained.size
+  if (records >= state.limits.maxRecords) {
+    return notRun(RefusalReason.QUEUE_FULL, 'the agent remembers too many requests')
+  }
+  return undefined
+}
+
+const execute = (state: State, r: ExecuteInput, nowMs: number): readonly Effect[] => {
+  if (state.guards.incarnation && r.agentIncarnation !== state.incarnation) {
+    const detail = `addressed to incarnation ${r.agentIncarnation}, this is ${state.incarnation}`
+    return [reply(r.requestId, notRun(RefusalReason.OTHER_INCARNATION, detail))]
+  }
+  const earlier = known(state, r.requestId)
+  if (earlier !== undefined) return earlier
+  const refused = refuseNew(state, r, nowMs)
+  if (refused !== undefined) return [reply(r.requestId, refused)]
+  const record: executionState.ActiveRecord = {
+    requestId: r.requestId,
+    phase: 'queued',
+    endpoint: r.endpoint,
+    caller: r.caller,
+    retain: r.retain,
+    deadlineMs: nowMs + r.timeoutMs,
+    startedAtMs: nowMs,
+    overdue: false,
+  }
+  const endpoint = state.endpoints.get(r.endpoint)
+  if (endpoint === undefined) return []
+  if (endpoint.running < endpoint.slots || !state.guards.slots) return [start(state, record, nowMs)]
+  if (executionState.queuedFor(state, r.endpoint).length >= state.limits.queuePerEndpoint) {
+    const detail = `${endpoint.slots} slots and the queue of ${r.endpoint} are full`
+    return [reply(r.requestId, notRun(RefusalReason.QUEUE_FULL, detail))]
+  }
+  state.active.set(r.requestId, record)
+  return []
+}
+
+const resolve = (
+  state: State,
+  requestId: string,
+  incarnation: number,
+  nowMs: number,
+): readonly Effect[] => {
+  if (incarnation !== state.incarnation) {
+    return [{ kind: 'resolved', state: ResolveState.RESOLVED_UNKNOWN }]
+  }
+  const active = state.active.get(requestId)
+  if (active?.phase === 'running') {
+    return [{ kind: 'resolved', state: ResolveState.RESOLVED_RUNNING }]
+  }
+  const settled = settledOf(state, requestId)
+  if (settled?.phase === 'finished') {
+    return [{ kind: 'resolved', state: ResolveState.RESOLVED_FINISHED, result: settled.result }]
+  }
+  const effects: Effect[] = []
+  if (active !== undefined) {
+    state.active.delete(requestId)
+    effects.push(reply(requestId, notRun(RefusalReason.FENCED, 'fenced by Resolve in the queue')))
+  }
+  if (settled === undefined && state.guards.tombstones) {
+    const keepUntilMs = nowMs + state.limits.rememberMs + 1
+    const record = { settledAtMs: nowMs, keepUntilMs, result: undefined, bytes: 0 }
+    settle(state, requestId, { phase: 'fenced', ...record }, false)
+  }
+  return [...effects, { kind: 'resolved', state: ResolveState.RESOLVED_NOT_RUN }]
+}
+
+const sample = (state: State, record: executionState.ActiveRecord, nowMs: number): void => {
+  const endpoint = state.endpoints.get(record.endpoint)
+  if (endpoint === undefined) return
+  const tookMs = nowMs - record.startedAtMs
+  const before = endpoint.serviceTimeMs === 0 ? tookMs : endpoint.serviceTimeMs
+  const serviceTimeMs = before + SERVICE_TIME_GAIN * (tookMs - before)
+  state.endpoints.set(record.endpoint, { ...endpoint, serviceTimeMs })
+}
+
+const ended = (
+  state: State,
+  requestId: string,
+  result: Result,
+  nowMs: number,
+): readonly Effect[] => {
+  const record = state.active.get(requestId)
+  if (record?.phase !== 'running') return []
+  state.active.delete(requestId)
+  addRunning(state, record.endpoint, -1)
+  if (result.$case === 'answer') sample(state, record, nowMs)
+  if (!executionResult.isNotRun(result)) {
+    const { retainMs, rememberMs } = state.limits
+    const base = Math.max(nowMs, record.deadlineMs)
+    const keepUntilMs = record.retain ? nowMs + retainMs : base + rememberMs + 1
+    const bytes = executionResult.bytesOf(result)
+    const settled = { phase: 'finished', settledAtMs: nowMs, keepUntilMs, result, bytes } as const
+    settle(state, requestId, settled, record.retain)
+    boundAnswers(state)
+  }
+  const replies = record.overdue ? [] : [reply(requestId, result)]
+  return [...replies, ...fillSlots(state, nowMs)]
+}
+
+const cancel = (state: State, requestId: string): readonly Effect[] => {
+  const record = state.active.get(requestId)
+  // A running request keeps its slot until the endpoint answers: closing the connection does not
+  // prove that the endpoint stopped, and a resend with the same key may want the answer.
+  if (record?.phase === 'queued') state.active.delete(requestId)
+  return []
+}
+
+const overdue = (state: State, nowMs: number): readonly Effect[] => {
+  const effects: Effect[] = []
+  for (const record of [...state.active.values()]) {
+    if (record.phase !== 'running' || record.deadlineMs > nowMs) continue
+    const late = unknown(RefusalReason.DEADLINE, 'the endpoint did not answer in time')
+    if (!record.overdue) {
+      state.active.set(record.requestId, { ...record, overdue: true })
+      effects.push(reply(record.requestId, late))
+    }
+    if (record.deadlineMs + state.limits.abandonMs > nowMs) continue
+    effects.push({ kind: 'abort', requestId: record.requestId })
+    effects.push(...ended(state, record.requestId, late, nowMs))
+  }
+  return effects
+}
+
+const expireEndpoints = (state: State, nowMs: number): void => {
+  for (const [name, endpoint] of state.endpoints) {
+    if (endpoint.expiresAtMs <= nowMs && endpoint.running === 0) state.endpoints.delete(name)
+  }
+}
+
+const tick = (state: State, nowMs: number): readonly Effect[] => {
+  evict(state, nowMs)
+  const effects = [...overdue(state, nowMs), ...fillSlots(state, nowMs)]
+  expireEndpoints(state, nowMs)
+  return effects
+}
+
+/** Applies one input to the state, in place, and returns what the shell has to do. */
+export const step = (state: State, input: Input, nowMs: number): readonly Effect[] => {
+  switch (input.kind) {
+    case 'announce':
+      return announce(state, input.announcement, nowMs)
+    case 'withdraw':
+      state.endpoints.delete(input.endpoint)
+      return fillSlots(state, nowMs)
+    case 'config':
+      state.configUntilMs = Math.max(state.configUntilMs, input.untilMs)
+      state.outDetail = input.outDetail
+      return fillSlots(state, nowMs)
+    case 'execute':
+      return execute(state, input.request, nowMs)
+    case 'cancel':
+      return cancel(state, input.requestId)
+    case 'resolve':
+      return resolve(state, input.requestId, input.incarnation, nowMs)
+    case 'confirm':
+      for (const id of input.requestIds) dropAnswer(state, state.settled, id)
+      return []
+    case 'ended':
+      return ended(state, input.requestId, input.result, nowMs)
+    case 'tick':
+      return tick(state, nowMs)
+    case 'close':
+      state.closing = true
+      return fillSlots(state, nowMs)
+  }
+}
--- /dev/null
+++ b/packages/control-client/src/logger.ts
@@ -0,0 +1,14 @@
+/** Structured log output of a role. */
+export interface Logger {
+  readonly debug: (message: string, fields?: LogFields) => void
+  readonly info: (message: string, fields?: LogFields) => void
+  readonly warn: (message: string, fields?: LogFields) => void
+  readonly error: (message: string, fields?: LogFields) => void
+}
+
+export type LogFields = Readonly<Record<string, unknown>>
+
+const ignore = (): void => undefined
+
+/** Logger that drops everything. */
+export const silentLogger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore }
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,377 @@
+import * as crypto from 'node:crypto'
+import * as http from 'node:http'
+import type * as net from 'node:net'
+import * as controlClient from '@ebonyweir/control-client'
+import * as results from 'ts-results-es'
+import * as attempts from './attempts.js'
+import * as bodyReader from './bodyReader.js'
+import * as claims from './claims.js'
+import * as directory from './directory.js'
+import * as entryOptions from './options.js'
+import * as entrySync from './entrySync.js'
+import * as metrics from './metrics.js'
+import * as reply from './reply.js'
+import * as requestHead from './requestHead.js'
+import * as serviceBuckets from './serviceBuckets.js'
+import * as serviceRequest from './serviceRequest.js'
+import * as services from './services.js'
+
+type Request = serviceRequest.ServiceRequest
+type Result = serviceRequest.RequestResult
+
+/** Why an entry instance did not start. */
+export interface EntryError {
+  readonly reason: 'address-in-use' | 'listen-failed'
+  readonly detail: string
+}
+
+/** A running entry instance. */
+export interface Entry {
+  /** Opens the HTTP server; resolves with the address that was bound. */
+  readonly start: () => Promise<results.Result<EntryAddresses, EntryError>>
+  /** Keeps serving for the grace period, then finishes the requests in progress and closes. */
+  readonly stop: () => Promise<void>
+}
+
+export interface EntryAddresses {
+  readonly httpAddress: string
+}
+
+/** Interval in which waiting requests are checked for their deadline. */
+const TICK_MS = 20
+const DRAIN_POLL_MS = 20
+/** Time for a caller to send a whole request. */
+const RECEIVE_TIMEOUT_MS = 30_000
+const SETTLE_DRAIN_MS = 2_000
+
+const pause = async (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms)
+  })
+
+const splitAddress = (address: string): { readonly host: string; readonly port: number } => {
+  const colon = address.lastIndexOf(':')
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '')
+  return { host, port: Number(address.slice(colon + 1)) }
+}
+
+/** Creates the entry role: it takes the requests of callers and routes them to agents. */
+export const createEntry = (options: entryOptions.EntryOptions): Entry => {
+  const resolved = entryOptions.resolveEntryOptions(options)
+  const { logger } = resolved
+  const view = controlClient.configView.createConfigView()
+  const control = controlClient.controlClient.createControlClient(resolved.controlAddresses)
+  const meters = metrics.createEntryMetrics()
+  const buckets = serviceBuckets.createServiceBuckets(Math.random)
+  const bodies = bodyReader.createBodyReader(resolved.maxRequestBytes, resolved.maxBufferedBytes)
+  const claimed = claims.createClaims({
+    cell: resolved.cell,
+    entry: resolved.name,
+    control,
+    resolveTimeoutMs: resolved.resolveTimeoutMs,
+    logger,
+  })
+  let requests = 0
+  let closing = false
+  let ticker: NodeJS.Timeout | undefined
+
+  const now = (): number => performance.now()
+
+  const routed = services.createServices({
+    failureDomain: resolved.failureDomain,
+    view,
+    random: Math.random,
+    runAttempts: async (request, endpointId, router) =>
+      attempts.runAttempts(
+        {
+          cell: resolved.cell,
+          revision: view.revision,
+          resolveTimeoutMs: resolved.resolveTimeoutMs,
+          router,
+          locate: (id) => known.locate(id),
+          random: Math.random,
+          onResolve: () => {
+            meters.resolves.inc()
+          },
+          onRetry: () => {
+            meters.retries.inc()
+          },
+          onHedge: () => {
+            meters.hedges.inc()
+          },
+          onRoom: () => {
+            routed.pump(request.service)
+          },
+        },
+        request,
+        endpointId,
+      ),
+  })
+
+  const known: directory.Directory = directory.createDirectory({
+    cell: resolved.cell,
+    entry: resolved.name,
+    probeIntervalMs: resolved.probeIntervalMs,
+    view,
+    onListings: (service, listings, nowMs) => {
+      routed.router(service).list(listings, nowMs)
+      routed.pump(service)
+    },
+    onReport: (service, endpointId, load, nowMs) => {
+      routed.router(service).table.report(endpointId, load, nowMs)
+      routed.pump(service)
+    },
+    onReachable: (service, endpointId, reachable) => {
+      routed.router(service).table.setReachable(endpointId, reachable)
+    },
+    onReplaced: () => {
+      meters.replacedConnections.inc()
+    },
+  })
+
+  const sync = entrySync.createEntrySync({
+    options: resolved,
+    incarnation: Date.now(),
+    control,
+    view,
+    directory: known,
+    buckets,
+    onApplied: () => {
+      known.refresh(now())
+    },
+    onFailure: () => {
+      meters.syncFailures.inc()
+    },
+  })
+
+  const count = (request: Request, result: Result): void => {
+    const tookMs = now() - request.arrivedAtMs
+    const answered = result.kind === 'answer'
+    const outcome = answered ? 'answered' : result.outcome
+    meters.ended(request.service, outcome, answered ? '' : result.reason, tookMs)
+    if (!answered && result.reason === 'cancelled') return
+    const endpoint = answered ? result.answer.endpoint : ''
+    const rule = answered || result.rule === undefined ? undefined : view.rule(result.rule)
+    const counted = {
+      service: request.service,
+      endpoint,
+      failureDomain: resolved.failureDomain,
+      tookMs,
+      rule: rule === undefined ? '' : `line ${rule.line} (${rule.requestedBy})`,
+    }
+    const late = tookMs > request.policy.targetMs
+    const failed = answered && result.answer.status >= 500
+    const answerKind = failed ? 'failed' : late ? 'late' : 'good'
+    const failureKind = outcome === 'not-run' ? 'refused' : 'failed'
+    buckets.count({ ...counted, kind: answered ? answerKind : failureKind }, Date.now())
+  }
+
+  const runRequest = async (request: Request): Promise<Result> => {
+    if (request.key === '') return routed.run(request)
+    const refused = await claimed.claim(request)
+    if (refused !== undefined) return refused
+    const result = await routed.run(request)
+    claimed.settle(request, result)
+    return result
+  }
+
+  const cancelledSignal = (response: http.ServerResponse): AbortSignal => {
+    const controller = new AbortController()
+    response.on('close', () => {
+      if (!response.writableFinished) controller.abort()
+    })
+    return controller.signal
+  }
+
+  const refuse = (
+    response: http.ServerResponse,
+    requestId: string,
+    status: number,
+    error: string,
+    detail: string,
+    service: string,
+  ): void => {
+    if (status !== 404) response.setHeader('connection', 'close')
+    reply.sendError(response, status, requestId, { error, detail, outcome: 'not-run', service })
+  }
+
+  const receive = async (
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+    head: requestHead.RequestHead,
+  ): Promise<void> => {
+    const { service } = head
+    const policy = view.service(service)
+    if (policy === undefined) {
+      message.resume()
+      refuse(response, requestId, 404, 'unknown-service', `no rule for service ${service}`, service)
+      return
+    }
+    const cancelled = cancelledSignal(response)
+    const body = await bodies.read(message)
+    if (body.isErr()) {
+      const status = { cut: 400, 'too-large': 413, overloaded: 503 }[body.error]
+      const detail = `request body ${body.error}; at most ${resolved.maxRequestBytes} bytes`
+      refuse(response, requestId, status, `body-${body.error}`, detail, service)
+      return
+    }
+    const arrivedAtMs = now()
+    const timeoutMs = Math.min(head.timeoutMs ?? policy.timeoutMs, resolved.maxTimeoutMs)
+    const request: Request = {
+      ...head,
+      requestId,
+      policy,
+      weight: policy.callerWeights.get(head.caller) ?? 1,
+      deadlineMs: arrivedAtMs + timeoutMs,
+      body: body.value,
+      arrivedAtMs,
+      cancelled,
+    }
+    const result = await runRequest(request)
+    bodies.release(body.value.length)
+    count(request, result)
+    if (closing) response.setHeader('connection', 'close')
+    reply.sendResult(response, request, result, view)
+  }
+
+  const serve = async (
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const requestId = crypto.randomUUID()
+    const head = requestHead.readHead(message, resolved.maxTimeoutMs)
+    if (head.isErr()) {
+      refuse(response, requestId, head.error.status, 'bad-request', head.error.detail, '')
+      return
+    }
+    const { service } = head.value
+    if (!view.inForce(now())) {
+      const detail = 'this entry instance has no valid configuration from control'
+      refuse(response, requestId, 503, 'config-expired', detail, service)
+      return
+    }
+    if (requests >= resolved.maxRequests) {
+      const detail = `${resolved.maxRequests} requests are in progress`
+      refuse(response, requestId, 503, 'overloaded', detail, service)
+      return
+    }
+    requests++
+    try {
+      await receive(message, response, requestId, head.value)
+    } finally {
+      requests--
+    }
+  }
+
+  const notReady = (): string => {
+    if (closing) return 'shutting down'
+    if (!view.inForce(now())) return 'no valid configuration from control'
+    const rule = view.outRule(resolved.failureDomain)
+    if (rule === undefined) return ''
+    return `failure domain ${resolved.failureDomain} is out by line ${rule.line} (${rule.requestedBy})`
+  }
+
+  const sendJson = (response: http.ServerResponse, status: number, body: unknown): void => {
+    response.writeHead(status, { 'content-type': 'application/json' })
+    response.end(JSON.stringify(body))
+  }
+
+  const sendMetrics = async (response: http.ServerResponse): Promise<void> => {
+    const body = await meters.render({
+      requests,
+      queued: routed.queued(),
+      bufferedBytes: bodies.heldBytes(),
+      agents: known.agents(),
+      revision: view.revision(),
+    })
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' })
+    response.end(body)
+  }
+
+  const route = async (
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> => {
+    const path = (message.url ?? '').split('?')[0] ?? ''
+    if (path === '/healthz') sendJson(response, closing ? 503 : 200, { healthy: !closing })
+    else if (path === '/readyz') {
+      const reason = notReady()
+      sendJson(response, reason === '' ? 200 : 503, { ready: reason === '', reason })
+    } else if (path === '/metrics') await sendMetrics(response)
+    else if (path === '/v1/burn') {
+      sendJson(response, 200, { buckets: buckets.closed(Date.now()) })
+    } else await serve(message, response)
+  }
+
+  const server = http.createServer({
+    maxHeaderSize: resolved.maxHeaderBytes,
+    headersTimeout: RECEIVE_TIMEOUT_MS,
+    requestTimeout: RECEIVE_TIMEOUT_MS,
+    // Longer than usual for clients, so that they close idle connections first.
+    keepAliveTimeout: 75_000,
+  })
+  server.on('request', (message, response) => {
+    route(message, response).catch((error: unknown) => {
+      logger.error('request failed', { detail: String(error) })
+      response.destroy()
+    })
+  })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+    if (!socket.writable) return
+    const status = error.code === 'HPE_HEADER_OVERFLOW' ? 431 : 400
+    const timedOut = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+    const detail = { error: 'bad-request', detail: error.message, outcome: 'not-run' }
+    const payload = JSON.stringify(detail)
+    const head =
+      `HTTP/1.1 ${timedOut ? 408 : status} Refused\r\nconnection: close\r\n` +
+      `ebonyweir-outcome: not-run\r\ncontent-type: application/json\r\n` +
+      `content-length: ${Buffer.byteLength(payload)}\r\n\r\n`
+    socket.end(head + payload)
+  })
+
+  const tick = (): void => {
+    routed.tick()
+    ticker = setTimeout(tick, TICK_MS)
+  }
+
+  const drain = async (): Promise<void> => {
+    const untilMs = now() + resolved.shutdownTimeoutMs
+    while (requests > 0 && now() < untilMs) await pause(DRAIN_POLL_MS)
+    if (requests > 0) logger.warn('requests were cut by the shutdown deadline', { requests })
+  }
+
+  return {
+    start: async () =>
+      new Promise((resolve) => {
+        const { host, port } = splitAddress(resolved.httpAddress)
+        server.once('error', (error: NodeJS.ErrnoException) => {
+          const reason = error.code === 'EADDRINUSE' ? 'address-in-use' : 'listen-failed'
+          resolve(results.Err({ reason, detail: error.message }))
+        })
+        server.listen(port, host, () => {
+          const bound = server.address() as net.AddressInfo
+          const httpAddress = `${host}:${bound.port}`
+          sync.start()
+          tick()
+          logger.info('entry started', { httpAddress })
+          resolve(results.Ok({ httpAddress }))
+        })
+      }),
+    stop: async () => {
+      closing = true
+      logger.info('entry is draining', { requests })
+      await pause(resolved.shutdownGraceMs)
+      server.close()
+      server.closeIdleConnections()
+      await drain()
+      clearTimeout(ticker)
+      await claimed.drain(SETTLE_DRAIN_MS)
+      sync.stop()
+      server.closeAllConnections()
+      known.close()
+      control.close()
+      logger.info('entry stopped')
+    },
+  }
+}
--- /dev/null
+++ b/packages/routing/src/fairQueue.ts
@@ -0,0 +1,166 @@
+/** A request that waits for an endpoint. */
+export interface Waiting {
+  readonly requestId: string
+  readonly caller: string
+  /** Share of the caller among the callers that wait. */
+  readonly weight: number
+  readonly deadlineMs: number
+}
+
+/** What became of a request that was offered to a queue. */
+export type Offer<Item extends Waiting> =
+  | { readonly kind: 'queued' }
+  /** Queued in place of the newest request of the caller with the longest backlog. */
+  | { readonly kind: 'displaced'; readonly item: Item }
+  | { readonly kind: 'full' }
+
+/** Bounded queue of the requests of one service. */
+export interface RequestQueue<Item extends Waiting> {
+  readonly push: (item: Item) => Offer<Item>
+  /** Removes the request that is next; drops nothing that expired. */
+  readonly pop: () => Item | undefined
+  readonly remove: (requestId: string) => Item | undefined
+  /** Removes every request whose deadline passed. */
+  readonly expire: (nowMs: number) => readonly Item[]
+  /** Requests that are served before a new one of this caller. */
+  readonly ahead: (caller: string, weight: number) => number
+  readonly size: () => number
+}
+
+interface Backlog<Item> {
+  readonly items: Item[]
+  weight: number
+  /** Virtual time at which the head of the backlog is served. */
+  headTag: number
+}
+
+/** Weighted fair queue: callers are served in the order of their virtual time. */
+export class FairQueue<Item extends Waiting> implements RequestQueue<Item> {
+  private readonly backlogs = new Map<string, Backlog<Item>>()
+  private virtualTime = 0
+  private count = 0
+
+  constructor(private readonly capacity: () => number) {}
+
+  push(item: Item): Offer<Item> {
+    const displaced = this.count >= this.capacity() ? this.displaceFor(item) : undefined
+    if (this.count >= this.capacity()) return { kind: 'full' }
+    const backlog = this.backlogs.get(item.caller) ?? {
+      items: [],
+      weight: item.weight,
+      headTag: this.virtualTime + 1 / item.weight,
+    }
+    backlog.weight = item.weight
+    backlog.items.push(item)
+    this.backlogs.set(item.caller, backlog)
+    this.count++
+    return displaced === undefined ? { kind: 'queued' } : { kind: 'displaced', item: displaced }
+  }
+
+  pop(): Item | undefined {
+    let next: Backlog<Item> | undefined
+    for (const backlog of this.backlogs.values()) {
+      if (next === undefined || backlog.headTag < next.headTag) next = backlog
+    }
+    const item = next?.items.shift()
+    if (next === undefined || item === undefined) return undefined
+    this.virtualTime = Math.max(this.virtualTime, next.headTag)
+    next.headTag += 1 / next.weight
+    this.removed(item.caller, next)
+    return item
+  }
+
+  remove(requestId: string): Item | undefined {
+    for (const [caller, backlog] of this.backlogs) {
+      const index = backlog.items.findIndex((item) => item.requestId === requestId)
+      if (index < 0) continue
+      const [item] = backlog.items.splice(index, 1)
+      this.removed(caller, backlog)
+      return item
+    }
+    return undefined
+  }
+
+  expire(nowMs: number): readonly Item[] {
+    const expired: Item[] = []
+    for (const [caller, backlog] of [...this.backlogs]) {
+      for (const item of backlog.items.filter((i) => i.deadlineMs <= nowMs)) {
+        backlog.items.splice(backlog.items.indexOf(item), 1)
+        expired.push(item)
+        this.removed(caller, backlog)
+      }
+    }
+    return expired
+  }
+
+  ahead(caller: string, weight: number): number {
+    const own = this.backlogs.get(caller)?.items.length ?? 0
+    let ahead = own
+    for (const [other, backlog] of this.backlogs) {
+      if (other === caller) continue
+      ahead += Math.min(backlog.items.length, ((own + 1) * backlog.weight) / weight)
+    }
+    return ahead
+  }
+
+  size(): number {
+    return this.count
+  }
+
+  private removed(caller: string, backlog: Backlog<Item>): void {
+    this.count--
+    if (backlog.items.length === 0) this.backlogs.delete(caller)
+  }
+
+  // The longest backlog for its weight gives way, unless it belongs to the caller that pushes.
+  private displaceFor(item: Item): Item | undefined {
+    const own = this.backlogs.get(item.caller)
+    let longest = ((own?.items.length ?? 0) + 1) / item.weight
+    let from: readonly [string, Backlog<Item>] | undefined
+    for (const [caller, backlog] of this.backlogs) {
+      const length = backlog.items.length / backlog.weight
+      if (caller === item.caller || length <= longest) continue
+      longest = length
+      from = [caller, backlog]
+    }
+    const displaced = from?.[1].items.pop()
+    if (from !== undefined && displaced !== undefined) this.removed(from[0], from[1])
+    return displaced
+  }
+}
+
+/** Baseline: first come, first served over all callers. */
+export class FifoQueue<Item extends Waiting> implements RequestQueue<Item> {
+  private readonly items: Item[] = []
+
+  constructor(private readonly capacity: () => number) {}
+
+  push(item: Item): Offer<Item> {
+    if (this.items.length >= this.capacity()) return { kind: 'full' }
+    this.items.push(item)
+    return { kind: 'queued' }
+  }
+
+  pop(): Item | undefined {
+    return this.items.shift()
+  }
+
+  remove(requestId: string): Item | undefined {
+    const index = this.items.findIndex((item) => item.requestId === requestId)
+    return index < 0 ? undefined : this.items.splice(index, 1)[0]
+  }
+
+  expire(nowMs: number): readonly Item[] {
+    const expired = this.items.filter((item) => item.deadlineMs <= nowMs)
+    for (const item of expired) this.items.splice(this.items.indexOf(item), 1)
+    return expired
+  }
+
+  ahead(): number {
+    return this.items.length
+  }
+
+  size(): number {
+    return this.items.length
+  }
+}
--- /dev/null
+++ b/packages/routing/src/serviceRouter.ts
@@ -0,0 +1,174 @@
+import type * as choice from './choice.js'
+import type * as endpoint from './endpoint.js'
+import * as endpointTable from './endpointTable.js'
+import type * as fairQueue from './fairQueue.js'
+import * as latencyTracker from './latencyTracker.js'
+import type * as outliers from './outliers.js'
+import type * as retryBudget from './retryBudget.js'
+
+/** Why a request was not accepted. */
+export type RefusalReason = 'no-endpoint' | 'queue-full' | 'too-late'
+
+export type Admission<Item extends fairQueue.Waiting> =
+  | { readonly kind: 'queued' }
+  /** Accepted; another request gave way and is refused as queue-full. */
+  | { readonly kind: 'displaced'; readonly item: Item }
+  | { readonly kind: 'refused'; readonly reason: RefusalReason; readonly expectedWaitMs: number }
+
+export interface Dispatch<Item extends fairQueue.Waiting> {
+  readonly item: Item
+  readonly endpointId: string
+}
+
+/** Parts of the policy; baselines replace single parts. */
+export interface RouterParts<Item extends fairQueue.Waiting> {
+  readonly choice: choice.EndpointChoice
+  readonly queue: fairQueue.RequestQueue<Item>
+  readonly budget: retryBudget.RetryBudget
+  readonly outliers: outliers.OutlierPolicy
+}
+
+export interface RouterOptions {
+  readonly failureDomain: string
+  /** Requests above its slots that one endpoint is given; the rest waits in the fair queue. @default 1 */
+  readonly overcommit?: number
+  /** Refuse a request that would be answered too late. @default true */
+  readonly refuseEarly?: boolean
+  /** Quantile of recent answer times after which a quick request is hedged. @default 0.95 */
+  readonly hedgeQuantile?: number
+}
+
+/** Routes the requests of one service from one process. */
+export interface ServiceRouter<Item extends fairQueue.Waiting> {
+  readonly table: endpointTable.EndpointTable
+  /** Replaces the listing of the service's endpoints. */
+  readonly list: (listings: readonly endpoint.EndpointListing[], nowMs: number) => void
+  /** Queues a request or refuses it. */
+  readonly offer: (item: Item, nowMs: number) => Admission<Item>
+  /** Takes the next request for which an endpoint has room, and counts it as dispatched. */
+  readonly next: (nowMs: number, random: endpoint.Random) => Dispatch<Item> | undefined
+  /** Chooses an endpoint for a retry or a hedge, and counts it as dispatched. */
+  readonly again: (
+    excluded: ReadonlySet<string>,
+    needsRoom: boolean,
+    nowMs: number,
+    random: endpoint.Random,
+  ) => string | undefined
+  readonly ended: (endpointId: string, ended: outliers.EndedRequest, nowMs: number) => void
+  /** Takes one retry or hedge from the budget. */
+  readonly mayRetry: (nowMs: number) => boolean
+  /** Time after which a quick request is hedged; undefined while too little is known. */
+  readonly hedgeAfterMs: () => number | undefined
+  readonly remove: (requestId: string) => Item | undefined
+  readonly expire: (nowMs: number) => readonly Item[]
+  readonly queued: () => number
+}
+
+const NONE: ReadonlySet<string> = new Set()
+const MIN_HEDGE_MS = 2
+
+/** Creates the router of one service from the parts of a policy. */
+export const createServiceRouter = <Item extends fairQueue.Waiting>(
+  parts: RouterParts<Item>,
+  options: RouterOptions,
+): ServiceRouter<Item> => {
+  const { overcommit = 1, refuseEarly = true, hedgeQuantile = 0.95 } = options
+  const table = endpointTable.createEndpointTable()
+  const latency = latencyTracker.createLatencyTracker()
+
+  const loadOf = (view: endpoint.EndpointView): number =>
+    view.outstanding + (view.othersReported ?? 0)
+
+  const hasRoom = (view: endpoint.EndpointView): boolean =>
+    view.outstanding < view.slots + overcommit && loadOf(view) < view.slots + overcommit
+
+  // Endpoints that left since an ejection must not turn the ejected ones into half or more of the rest.
+  const usable = (
+    excluded: ReadonlySet<string>,
+    nowMs: number,
+  ): readonly endpoint.EndpointView[] => {
+    const open = table.open(excluded)
+    const ejected = open
+      .filter((view) => view.ejectedUntilMs > nowMs)
+      .sort((a, b) => b.ejectedUntilMs - a.ejectedUntilMs)
+      .slice(0, Math.max(0, Math.ceil(open.length / 2) - 1))
+    return ejected.length === 0 ? open : open.filter((view) => !ejected.includes(view))
+  }
+
+  const choose = (
+    candidates: readonly endpoint.EndpointView[],
+    nowMs: number,
+    random: endpoint.Random,
+  ): string | undefined => {
+    const { failureDomain } = options
+    const chosen = parts.choice.choose(candidates, { nowMs, random, failureDomain })
+    if (chosen === undefined) return undefined
+    table.dispatched(chosen.id)
+    return chosen.id
+  }
+
+  const expectedWaitMs = (item: Item, open: readonly endpoint.EndpointView[]): number => {
+    const slots = open.reduce((sum, view) => sum + view.slots, 0)
+    const busy = open.reduce((sum, view) => sum + loadOf(view), 0)
+    const timeMs = open.reduce((sum, view) => sum + view.serviceTimeMs, 0) / open.length
+    const ahead = parts.queue.ahead(item.caller, item.weight) + Math.max(0, busy + 1 - slots)
+    return ahead <= 0 ? timeMs : timeMs * (1 + ahead / slots)
+  }
+
+  const list = (listings: readonly endpoint.EndpointListing[], nowMs: number): void => {
+    const gone = new Set(table.views().map((view) => view.id))
+    for (const { id } of listings) {
+      gone.delete(id)
+      parts.outliers.know(id)
+    }
+    for (const id of gone) parts.outliers.forget(id)
+    table.list(listings, nowMs)
+  }
+
+  return {
+    table,
+    list,
+    offer: (item, nowMs) => {
+      const open = usable(NONE, nowMs)
+      if (open.length === 0) return { kind: 'refused', reason: 'no-endpoint', expectedWaitMs: 0 }
+      const waitMs = expectedWaitMs(item, open)
+      if (refuseEarly && nowMs + waitMs > item.deadlineMs) {
+        return { kind: 'refused', reason: 'too-late', expectedWaitMs: waitMs }
+      }
+      const offer = parts.queue.push(item)
+      if (offer.kind === 'full') {
+        return { kind: 'refused', reason: 'queue-full', expectedWaitMs: waitMs }
+      }
+      parts.budget.deposit(nowMs)
+      return offer
+    },
+    next: (nowMs, random) => {
+      if (parts.queue.size() === 0) return undefined
+      const candidates = usable(NONE, nowMs).filter(hasRoom)
+      if (candidates.length === 0) return undefined
+      const item = parts.queue.pop()
+      if (item === undefined) return undefined
+      const endpointId = choose(candidates, nowMs, random)
+      return endpointId === undefined ? undefined : { item, endpointId }
+    },
+    again: (excluded, needsRoom, nowMs, random) => {
+      const open = usable(excluded, nowMs)
+      const free = open.filter((view) => loadOf(view) < view.slots)
+      return choose(needsRoom || free.length > 0 ? free : open, nowMs, random)
+    },
+    ended: (endpointId, ended, nowMs) => {
+      table.ended(endpointId, ended.failed ? undefined : ended.tookMs)
+      if (!ended.failed) latency.record(ended.tookMs)
+      const untilMs = parts.outliers.onEnd(endpointId, ended, nowMs)
+      if (untilMs > 0) table.eject(endpointId, untilMs)
+    },
+    mayRetry: (nowMs) => parts.budget.withdraw(nowMs),
+    hedgeAfterMs: () => {
+      const ms = latency.quantile(hedgeQuantile)
+      return ms === undefined ? undefined : Math.max(MIN_HEDGE_MS, ms)
+    },
+    remove: (requestId) => parts.queue.remove(requestId),
+    expire: (nowMs) => parts.queue.expire(nowMs),
+    queued: () => parts.queue.size(),
+  }
+}
