--- /dev/null
+++ b/packages/cli/src/commands/failureDomain.ts
@@ -0,0 +1,167 @@
+/** `ebonyweir drain` and `return`: takes a failure domain out of service and back. */
+import type * as protocol from '@ebonyweir/protocol'
+import * as rules from '@ebonyweir/rules'
+import * as clipanion from 'clipanion'
+import * as results from 'ts-results-es'
+
+import * as baseCommand from '../baseCommand.js'
+import * as failures from '../failure.js'
+import * as rulesCommands from './rules.js'
+
+const CATEGORY = 'Failure domains'
+const MAX_CONFLICTS = 20
+
+type State = rules.FailureDomainRule['state']
+
+abstract class FailureDomainCommand extends baseCommand.BaseCommand {
+  failureDomain = clipanion.Option.String({ name: 'FAILURE-DOMAIN' })
+
+  by = clipanion.Option.String('--by', {
+    description:
+      'Who asks for it; becomes the comment of the rule, for example "Operations, ticket 4411"',
+  })
+
+  wait = clipanion.Option.Boolean('--wait', false, {
+    description: 'Wait until it is done, for up to --timeout-ms',
+  })
+
+  /** Applies the edit on the newest revision until no other operator's change comes between. */
+  protected async setState(state: State): Promise<baseCommand.CommandResult> {
+    const requestedBy = this.resolveOperator(this.by)
+    if (requestedBy.isErr()) return requestedBy
+    const edit = { failureDomain: this.failureDomain, state, requestedBy: requestedBy.value }
+    for (let conflicts = 0; conflicts <= MAX_CONFLICTS; conflicts++) {
+      const applied = await this.applyOnce(edit)
+      if (applied.isOk() || applied.error.kind !== 'conflict') return applied
+    }
+    const message = `${MAX_CONFLICTS} changes of other operators came between; nothing changed`
+    return results.Err(failures.createFailure('conflict', message))
+  }
+
+  private async applyOnce(edit: rules.FailureDomainEdit): Promise<baseCommand.CommandResult> {
+    const current = await this.call<protocol.operatorApi.RulesAnswer>({
+      method: 'GET',
+      path: '/v1/rules',
+    })
+    if (current.isErr()) return current
+    const { revision, text } = current.value
+    const edited = rules.editFailureDomain(text, `revision ${revision}`, edit)
+    if (edited.isErr()) {
+      const mistakes = edited.error.mistakes.map(rules.formatRuleMistake)
+      return results.Err(failures.createFailure('refused', 'the rules cannot be edited', mistakes))
+    }
+    if (!edited.value.changed) return results.Ok(describe(edit, revision, edited.value))
+    const body: protocol.operatorApi.ApplyRulesRequest = {
+      expectedRevision: revision,
+      operator: edit.requestedBy,
+      text: edited.value.text,
+    }
+    const applied = await this.call<protocol.operatorApi.ApplyRulesAnswer>({
+      method: 'POST',
+      path: '/v1/rules',
+      body,
+    })
+    return applied
+      .map((answer) => describe(edit, answer.revision, edited.value))
+      .mapErr(rulesCommands.explainRefusal)
+  }
+
+  /** Finds the failure domain in the status. */
+  protected async readStatus(): Promise<
+    results.Result<protocol.operatorApi.FailureDomainStatus | undefined, failures.Failure>
+  > {
+    const status = await this.call<protocol.operatorApi.StatusAnswer>({
+      method: 'GET',
+      path: '/v1/status',
+    })
+    return status.map((answer) =>
+      answer.failureDomains.find((domain) => domain.failureDomain === this.failureDomain),
+    )
+  }
+}
+
+/** Takes a failure domain out. */
+export class DrainCommand extends FailureDomainCommand {
+  static override paths = [['drain']]
+
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: 'Take a failure domain out of service',
+    details: `
+      Sets \`state = "out"\` in the rule of the failure domain, adding the rule if there is none, and leaves
+      every other rule as it is. If another operator changes the rules meanwhile, it starts again from
+      theirs. Within 5 seconds no task starts there and no request is sent there; running tasks are
+      checkpointed and moved. With --wait it returns when no task runs there.
+
+      Exit codes: 0 done, 1 refused or not empty in time, 3 conflict, 4 unreachable, 5 unknown outcome.
+    `,
+    examples: [['Take Brest out', 'ebonyweir drain brest --by "Operations, ticket 4411" --wait']],
+  })
+
+  override async run(): Promise<baseCommand.CommandResult> {
+    const applied = await this.setState('out')
+    if (applied.isErr() || !this.wait) return applied
+    let left = 'no status yet'
+    return this.waitFor(
+      async () => {
+        const status = await this.readStatus()
+        if (status.isErr()) return status
+        const tasks = status.value?.runningTasks ?? 0
+        left = `${tasks} tasks run in ${this.failureDomain}`
+        return tasks === 0
+          ? results.Ok({ ...applied.value, text: `${applied.value.text}no task runs there\n` })
+          : undefined
+      },
+      () => left,
+    )
+  }
+}
+
+/** Brings a failure domain back. */
+export class ReturnCommand extends FailureDomainCommand {
+  static override paths = [['return']]
+
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: 'Bring a failure domain back into service',
+    details: `
+      Sets \`state = "in"\` in the rule of the failure domain and leaves every other rule as it is. The
+      failure domain is filled gradually. With --wait it returns when a task runs there.
+
+      Exit codes: 0 done, 1 refused or no task there in time, 3 conflict, 4 unreachable, 5 unknown outcome.
+    `,
+    examples: [['Bring Brest back', 'ebonyweir return brest --by "Operations, ticket 4411"']],
+  })
+
+  override async run(): Promise<baseCommand.CommandResult> {
+    const applied = await this.setState('in')
+    if (applied.isErr() || !this.wait) return applied
+    return this.waitFor(
+      async () => {
+        const status = await this.readStatus()
+        if (status.isErr()) return status
+        const tasks = status.value?.runningTasks ?? 0
+        return tasks > 0
+          ? results.Ok({
+              ...applied.value,
+              text: `${applied.value.text}${tasks} tasks run there\n`,
+            })
+          : undefined
+      },
+      () => `no task runs in ${this.failureDomain}`,
+    )
+  }
+}
+
+function describe(
+  edit: rules.FailureDomainEdit,
+  revision: number,
+  edited: rules.EditedRules,
+): baseCommand.CommandOutput {
+  const { failureDomain, state } = edit
+  const by = edited.before === undefined ? '' : `; before: ${rules.describeRule(edited.before)}`
+  const text = edited.changed
+    ? `${failureDomain} is ${state} from revision ${revision}${by}\n`
+    : `${failureDomain} was ${state} already in revision ${revision}${by}; nothing changed\n`
+  return { json: { failureDomain, state, revision, changed: edited.changed }, text }
+}
--- /dev/null
+++ b/packages/cli/src/commands/status.ts
@@ -0,0 +1,182 @@
+/** `ebonyweir status` and `explain`: what the cell does and why. */
+import type * as protocol from '@ebonyweir/protocol'
+import * as clipanion from 'clipanion'
+
+import * as baseCommand from '../baseCommand.js'
+import * as failures from '../failure.js'
+import * as output from '../output.js'
+
+const CATEGORY = 'Look'
+
+/** Prints the state of the cell. */
+export class StatusCommand extends baseCommand.BaseCommand {
+  static override paths = [['status']]
+
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: 'Show the state of the cell',
+    details: `
+      Shows the revision in force, failure domains, services, teams, workers (with --workers) and the work
+      that cannot be placed, each with the rule and the person behind it.
+    `,
+    examples: [['Everything', 'ebonyweir status --workers']],
+  })
+
+  workers = clipanion.Option.Boolean('--workers', false, { description: 'List every worker' })
+
+  override async run(): Promise<baseCommand.CommandResult> {
+    const status = await this.call<protocol.operatorApi.StatusAnswer>({
+      method: 'GET',
+      path: '/v1/status',
+    })
+    return status.map((answer) => ({ json: answer, text: renderStatus(answer, this.workers) }))
+  }
+}
+
+/** Explains one subject. */
+export class ExplainCommand extends baseCommand.BaseCommand {
+  static override paths = [['explain']]
+
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: 'Explain the state of a job, task, worker, service or failure domain',
+    details: `
+      Lists the decisions about the subject, each with the rule that caused it and who asked for that rule.
+
+      Exit codes: 0 explained, 1 unknown subject, 4 unreachable.
+    `,
+    examples: [
+      ['Why does this job wait?', 'ebonyweir explain fitting-0917'],
+      ['Where does this runner run?', 'ebonyweir explain service/swap-desk/3'],
+    ],
+  })
+
+  subject = clipanion.Option.String({ name: 'SUBJECT' })
+
+  override async run(): Promise<baseCommand.CommandResult> {
+    const explained = await this.call<protocol.operatorApi.ExplainAnswer>({
+      method: 'GET',
+      path: `/v1/explain?subject=${encodeURIComponent(this.subject)}`,
+    })
+    return explained.map((answer) => ({ json: answer, text: renderExplanation(answer) }))
+  }
+}
+
+function renderExplanation(answer: protocol.operatorApi.ExplainAnswer): string {
+  const head = `${answer.subjectKind} ${answer.subject}: ${answer.state}\n`
+  const lines = answer.explanations.map(({ atMs, text, rule }) => {
+    const time = atMs === 0 ? '' : `${new Date(atMs).toISOString()} `
+    const because = rule === undefined ? '' : `\n    because of ${failures.describeRule(rule)}`
+    return `  ${time}${text}${because}\n`
+  })
+  return `${head}${lines.join('')}`
+}
+
+/** Text of a status. */
+export function renderStatus(
+  status: protocol.operatorApi.StatusAnswer,
+  listWorkers: boolean,
+): string {
+  const { cell, leader, term, revision } = status
+  const sections = [
+    `cell ${cell}, revision ${revision}, leader ${leader} in term ${term}\n${countJobs(status)}`,
+    renderFailureDomains(status),
+    renderServices(status),
+    renderTeams(status),
+    listWorkers ? renderWorkers(status) : countWorkers(status),
+    renderProcesses(status),
+    renderWaiting(status),
+  ]
+  return sections.filter((section) => section !== '').join('\n')
+}
+
+function countJobs({ jobs }: protocol.operatorApi.StatusAnswer): string {
+  const counts = Object.entries(jobs).map(([state, count]) => `${count} ${state}`)
+  return `jobs: ${counts.join(', ')}\n`
+}
+
+function renderFailureDomains({ failureDomains }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['failure domain', 'state', 'workers', 'tasks', 'endpoints', 'rule'],
+    failureDomains.map((domain) => [
+      domain.failureDomain,
+      domain.state,
+      String(domain.workers),
+      String(domain.runningTasks),
+      String(domain.endpoints),
+      failures.describeRule(domain.rule),
+    ]),
+  )
+}
+
+function renderServices({ services }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['service', 'runners', 'wanted', 'endpoints', 'leaving', 'rule'],
+    services.map((service) => [
+      service.service,
+      String(service.runningRunners),
+      String(service.wantedRunners),
+      String(service.endpoints),
+      String(service.leavingEndpoints),
+      failures.describeRule(service.rule),
+    ]),
+  )
+}
+
+function renderTeams({ teams }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['team', 'used', 'quota', 'rule'],
+    teams.map((team) => [
+      team.team,
+      output.formatResources(team.used),
+      output.formatResources(team.quota),
+      failures.describeRule(team.rule),
+    ]),
+  )
+}
+
+function renderWorkers({ workers }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['worker', 'failure domain', 'rack', 'state', 'tasks', 'committed', 'capacity'],
+    workers.map((worker) => [
+      worker.worker,
+      worker.failureDomain,
+      worker.rack,
+      worker.state,
+      String(worker.runningTasks),
+      output.formatResources(worker.committed),
+      output.formatResources(worker.capacity),
+    ]),
+  )
+}
+
+function countWorkers({ workers }: protocol.operatorApi.StatusAnswer): string {
+  const states = [...new Set(workers.map((worker) => worker.state))].sort()
+  const counts = states.map(
+    (state) => `${workers.filter((worker) => worker.state === state).length} ${state}`,
+  )
+  return `workers: ${counts.join(', ') || 'none'}\n`
+}
+
+function renderProcesses({ processes, revision }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['process', 'name', 'failure domain', 'revision'],
+    processes.map((process) => [
+      process.role,
+      process.name,
+      process.failureDomain,
+      process.revision === revision ? String(revision) : `${process.revision} (behind)`,
+    ]),
+  )
+}
+
+function renderWaiting({ waiting }: protocol.operatorApi.StatusAnswer): string {
+  return renderList(
+    ['waiting', 'reason', 'rule'],
+    waiting.map((work) => [work.subject, work.reason, failures.describeRule(work.rule)]),
+  )
+}
+
+function renderList(head: readonly string[], rows: readonly (readonly string[])[]): string {
+  return rows.length === 0 ? '' : output.renderTable(head, rows)
+}
--- a/packages/settings/src/fields.ts
+++ b/packages/settings/src/fields.ts
@@ -3,6 +3,7 @@
  * errors and its line in the reference. A schema library is not used here because agents load this
  * module, and zod adds 12 MB of resident memory to a process.
  */
+import * as levenshtein from 'fastest-levenshtein'
 
 /** A field of type `T` as it is described to people and checked. */
 export interface Field<T> {
@@ -197,30 +198,13 @@
 
 function findSimilar(word: string, accepted: readonly string[]): string | undefined {
   const ranked = accepted
-    .map((candidate) => ({ candidate, distance: editDistance(word, candidate) }))
+    .map((candidate) => ({ candidate, distance: levenshtein.distance(word, candidate) }))
     .sort((a, b) => a.distance - b.distance)
   const best = ranked[0]
   if (best === undefined) return undefined
   return best.distance <= word.length * MAX_SUGGESTION_RATIO ? best.candidate : undefined
 }
 
-function editDistance(a: string, b: string): number {
-  const from = a.toLowerCase()
-  const to = b.toLowerCase()
-  let previous = Array.from({ length: to.length + 1 }, (_, column) => column)
-  for (let row = 1; row <= from.length; row++) {
-    const current = [row]
-    for (let column = 1; column <= to.length; column++) {
-      const substitution = (previous[column - 1] ?? 0) + (from[row - 1] === to[column - 1] ? 0 : 1)
-      const insertion = (current[column - 1] ?? 0) + 1
-      const deletion = (previous[column] ?? 0) + 1
-      current.push(Math.min(substitution, insertion, deletion))
-    }
-    previous = current
-  }
-  return previous[to.length] ?? 0
-}
-
 function show(value: unknown): string {
   return typeof value === 'bigint' ? value.toString() : JSON.stringify(value)
 }
--- a/packages/telemetry/src/burn.ts
+++ b/packages/telemetry/src/burn.ts
@@ -1,4 +1,4 @@
-/** Service-level burn: how fast a service uses up the failures that its objective allows. */
+/** Service-level burn: how fast a service uses up the bad requests that its objective allows. */
 
 /** Requests of one service in one closed interval, counted by one entry instance. */
 export interface BurnCounts {
@@ -10,32 +10,142 @@
   readonly refused: number
 }
 
-/** Good and all requests of a window. */
+/** Counts with the places that bad requests are attributed to; an empty text is not counted. */
+export interface AttributedCounts extends BurnCounts {
+  readonly endpoint: string
+  readonly failureDomain: string
+  readonly rule: string
+}
+
+/** Bad and all requests of a window. */
 export interface WindowCounts {
-  readonly good: number
+  readonly bad: number
   readonly total: number
 }
 
-/** Counts the buckets that end within the last `windowMs`. */
+/** Two windows that must both burn faster than the threshold before somebody is called. */
+export interface WindowPair {
+  readonly name: 'fast' | 'slow'
+  readonly shortMs: number
+  readonly longMs: number
+  readonly threshold: number
+}
+
+const MINUTE_MS = 60_000
+
+/** Window for which buckets are kept and the error budget is counted. */
+export const BUDGET_WINDOW_MS = 360 * MINUTE_MS
+
+/**
+ * Fast and slow window pairs. The thresholds use up 2 % of a 30-day budget in one hour and 5 % in
+ * six hours.
+ */
+export const WINDOW_PAIRS: readonly WindowPair[] = [
+  { name: 'fast', shortMs: 5 * MINUTE_MS, longMs: 60 * MINUTE_MS, threshold: 14.4 },
+  { name: 'slow', shortMs: 30 * MINUTE_MS, longMs: BUDGET_WINDOW_MS, threshold: 6 },
+]
+
+/** Burn rates of one window pair. */
+export interface PairBurn {
+  readonly name: WindowPair['name']
+  readonly shortRate: number
+  readonly longRate: number
+  readonly threshold: number
+  /** True if both rates are at or above the threshold. */
+  readonly burning: boolean
+}
+
+/** Share of a service's bad requests that one place caused. */
+export interface BurnCause {
+  readonly place: 'failureDomain' | 'endpoint' | 'rule'
+  readonly name: string
+  readonly bad: number
+  /** Share of all bad requests of the service in the budget window, from 0 to 1. */
+  readonly share: number
+}
+
+/** Burn of one service. */
+export interface ServiceBurn {
+  readonly service: string
+  readonly objective: number
+  readonly pairs: readonly PairBurn[]
+  /** Requests in the budget window. */
+  readonly window: WindowCounts
+  /** Part of the budget window's error budget that is left; negative once it is overspent. */
+  readonly budgetLeft: number
+  /** Largest causes first, per kind of place. */
+  readonly causes: readonly BurnCause[]
+}
+
+/** Counts the buckets that reach into the last `windowMs`. */
 export function countWindow(
   buckets: readonly BurnCounts[],
   nowMs: number,
   windowMs: number,
 ): WindowCounts {
-  let good = 0
+  let bad = 0
   let total = 0
   for (const bucket of buckets) {
-    const endMs = bucket.startMs + bucket.lengthMs
-    if (endMs <= nowMs - windowMs || bucket.startMs > nowMs) continue
-    good += bucket.good
-    total += bucket.good + bucket.late + bucket.failed + bucket.refused
+    if (!isInWindow(bucket, nowMs, windowMs)) continue
+    bad += countBad(bucket)
+    total += bucket.good + countBad(bucket)
   }
-  return { good, total }
+  return { bad, total }
 }
 
-/** Share of bad requests relative to the share that the objective allows; 1 uses the budget exactly up. */
+/** Share of bad requests relative to the allowed share; 1 uses the budget exactly up. */
 export function burnRate(counts: WindowCounts, objective: number): number {
   if (counts.total === 0) return 0
-  const bad = (counts.total - counts.good) / counts.total
-  return bad / (1 - objective)
+  return counts.bad / counts.total / (1 - objective)
+}
+
+/** Computes the burn of one service from its buckets. */
+export function computeServiceBurn(
+  service: string,
+  objective: number,
+  buckets: readonly AttributedCounts[],
+  nowMs: number,
+): ServiceBurn {
+  const rate = (windowMs: number) => burnRate(countWindow(buckets, nowMs, windowMs), objective)
+  const window = countWindow(buckets, nowMs, BUDGET_WINDOW_MS)
+  return {
+    service,
+    objective,
+    pairs: WINDOW_PAIRS.map((pair) => comparePair(pair, rate(pair.shortMs), rate(pair.longMs))),
+    window,
+    budgetLeft: 1 - burnRate(window, objective),
+    causes: findCauses(buckets.filter((bucket) => isInWindow(bucket, nowMs, BUDGET_WINDOW_MS))),
+  }
+}
+
+function comparePair(pair: WindowPair, shortRate: number, longRate: number): PairBurn {
+  const { name, threshold } = pair
+  const burning = shortRate >= threshold && longRate >= threshold
+  return { name, shortRate, longRate, threshold, burning }
+}
+
+const PLACES: readonly BurnCause['place'][] = ['failureDomain', 'endpoint', 'rule']
+
+function findCauses(buckets: readonly AttributedCounts[]): readonly BurnCause[] {
+  const allBad = buckets.reduce((sum, bucket) => sum + countBad(bucket), 0)
+  return PLACES.flatMap((place) => {
+    const badByName = new Map<string, number>()
+    for (const bucket of buckets) {
+      const bad = countBad(bucket)
+      const name = bucket[place]
+      if (name === '' || bad === 0) continue
+      badByName.set(name, (badByName.get(name) ?? 0) + bad)
+    }
+    return [...badByName]
+      .sort(([, a], [, b]) => b - a)
+      .map(([name, bad]) => ({ place, name, bad, share: bad / allBad }))
+  })
+}
+
+function isInWindow(bucket: BurnCounts, nowMs: number, windowMs: number): boolean {
+  return bucket.startMs + bucket.lengthMs > nowMs - windowMs && bucket.startMs <= nowMs
+}
+
+function countBad(bucket: BurnCounts): number {
+  return bucket.late + bucket.failed + bucket.refused
 }
