--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -50,7 +50,7 @@
 /** Runs one command and gives its exit code; a mistake in the command line gives `USAGE`. */
 export async function runCli(args: readonly string[], context: CliContext): Promise<number> {
   const streams: clipanion.BaseContext = { ...clipanion.Cli.defaultContext, ...context }
-  const cli = createCli(streams.stdout === process.stdout && process.stdout.isTTY)
+  const cli = createCli(isTerminal(streams.stdout))
   let command: clipanion.Command
   try {
     command = cli.process([...args], streams)
@@ -61,3 +61,7 @@
   }
   return cli.run(command, streams)
 }
+
+function isTerminal(stream: NodeJS.WritableStream): boolean {
+  return 'isTTY' in stream && stream.isTTY === true
+}
