--- /dev/null
+++ b/packages/stand-ins/__tests__/fakeWorker.spec.ts
@@ -0,0 +1,145 @@
+import * as http from 'node:http'
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+import type * as protocol from '@ebonyweir/protocol'
+
+const { describe, expect, test } = vitest
+
+type Reply = Partial<protocol.workerApi.WorkerSyncReply> & { readonly delayMs?: number }
+
+const start = (task: string, attempt: number, more: object = {}) => ({
+  task,
+  attempt,
+  kind: 'fitting-plan',
+  service: '',
+  cpuMillis: 1000,
+  memoryMb: 100,
+  accelerators: 0,
+  checkpoint: '',
+  command: 'run=60000',
+  ...more,
+})
+
+/** A leader that answers the n-th sync with the n-th reply, and later ones not at all. */
+const openLeader = async (replies: readonly Reply[]) => {
+  const syncs: protocol.workerApi.WorkerSyncRequest[] = []
+  const server = http.createServer((request, response) => {
+    void standIns.json.readBody(request).then((body) => {
+      const sync = JSON.parse(String(body)) as protocol.workerApi.WorkerSyncRequest
+      const reply = replies[syncs.length]
+      syncs.push(sync)
+      if (reply === undefined) return
+      const { delayMs, ...fields } = reply
+      const full = {
+        sequence: sync.sequence,
+        epoch: 1,
+        leaseMs: 1500,
+        startValidMs: 800,
+        nextSyncMs: 50,
+        start: [],
+        stop: [],
+        checkpoint: [],
+        throttle: [],
+        ackEnded: [],
+        ...fields,
+      }
+      setTimeout(() => {
+        standIns.json.sendJson(response, 200, full)
+      }, delayMs ?? 0)
+    })
+  })
+  const port = await standIns.json.listen(server, 0)
+  const close = () => {
+    server.close()
+    server.closeAllConnections()
+  }
+  return { address: `127.0.0.1:${port}`, syncs, close }
+}
+
+interface Case {
+  readonly name: string
+  readonly replies: readonly Reply[]
+  readonly guardsOff?: readonly standIns.fakeWorker.WorkerGuard[]
+  /** Notes in their order, as "kind task attempt outcome-or-reason". */
+  readonly expected: readonly string[]
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'a start that is repeated',
+    replies: [{ start: [start('t', 1)] }, { start: [start('t', 1)] }],
+    expected: ['taskStarted t 1', 'leaseEnded', 'taskStopped t 1 evicted'],
+  },
+  {
+    name: 'a reply older than the start validity',
+    replies: [{ start: [start('t', 1)], delayMs: 1000 }],
+    expected: ['replyIgnored older than the start validity'],
+  },
+  {
+    name: 'a reply older than the start validity, with the guard off',
+    replies: [{ start: [start('t', 1)], delayMs: 1000 }],
+    guardsOff: ['startValidity'],
+    expected: ['taskStarted t 1', 'leaseEnded', 'taskStopped t 1 evicted'],
+  },
+  {
+    name: 'a reply of an older leader',
+    replies: [{ epoch: 5 }, { epoch: 4, start: [start('t', 1)] }],
+    expected: ['replyIgnored older epoch'],
+  },
+  {
+    name: 'a stop before the start',
+    replies: [{ stop: [{ task: 't', attempt: 1 }] }, { start: [start('t', 1)] }],
+    expected: [],
+  },
+  {
+    name: 'a checkpoint that is acknowledged later, and a newer attempt',
+    replies: [
+      { start: [start('t', 1, { checkpoint: 'cp:t:0:7' })] },
+      { checkpoint: [{ task: 't', attempt: 1 }] },
+      { start: [start('t', 1)] },
+      { ackEnded: [{ task: 't', attempt: 1 }], start: [start('t', 2, { command: 'fail' })] },
+    ],
+    expected: [
+      'taskStarted t 1',
+      'taskStopped t 1 evicted',
+      'endAcknowledged t 1',
+      'taskStarted t 2',
+      'taskStopped t 2 failed',
+    ],
+  },
+]
+
+const describeNote = (note: standIns.record.Observation): readonly string[] => {
+  if (note.kind === 'leaseEnded') return ['leaseEnded']
+  if (note.kind === 'replyIgnored') return [`replyIgnored ${note.reason}`]
+  if (note.kind === 'taskStarted') return [`taskStarted ${note.task} ${note.attempt}`]
+  if (note.kind === 'endAcknowledged') return [`endAcknowledged ${note.task} ${note.attempt}`]
+  if (note.kind === 'taskStopped')
+    return [`taskStopped ${note.task} ${note.attempt} ${note.outcome}`]
+  return []
+}
+
+describe('fake worker', () => {
+  // Guards against a stand-in that keeps the protocol worse than the platform does, or hides a fault.
+  test.each(cases)('$name', async ({ replies, guardsOff, expected }) => {
+    const leader = await openLeader(replies)
+    const notes: standIns.record.Observation[] = []
+    const worker = standIns.fakeWorker.createFakeWorker({
+      cell: 'test',
+      worker: 'w1',
+      failureDomain: 'a',
+      rack: 'r',
+      controlAddresses: [leader.address],
+      capacity: { cpuMillis: 4000, memoryMb: 1000, accelerators: 0 },
+      recorder: { note: (note) => notes.push(note), close: () => undefined },
+      guardsOff,
+      syncTimeoutMs: 2500,
+      tickMs: 20,
+    })
+    await standIns.waiting.waitFor('all replies', () => leader.syncs.length > replies.length)
+    await standIns.waiting.waitFor('the lease to end', () => worker.status().leaseLeftMs < -100)
+    expect(notes.flatMap(describeNote)).toEqual(expected)
+    worker.close()
+    leader.close()
+  })
+})
--- a/packages/stand-ins/src/bin/fakeWorker.ts
+++ b/packages/stand-ins/src/bin/fakeWorker.ts
@@ -1,9 +1,9 @@
 /** Executable: one process that hosts one or many fake workers. */
+import type * as protocol from '@ebonyweir/protocol'
 import * as undici from 'undici'
 import * as fakeEndpoint from '../fakeEndpoint.js'
 import * as fakeWorker from '../fakeWorker.js'
 import * as json from '../json.js'
-import type * as wire from '../workerWire.js'
 import * as flagsOf from './flags.js'
 
 const flags = flagsOf.parseFlags(process.argv.slice(2))
@@ -14,7 +14,7 @@
 const dispatcher = new undici.Agent({ connections: count + 8 })
 const endpoints = new Map<string, Promise<fakeEndpoint.FakeEndpoint>>()
 
-const openEndpoint = (directive: wire.StartDirective, failureDomain: string) => {
+const openEndpoint = (directive: protocol.workerApi.StartTaskJson, failureDomain: string) => {
   if (agentAddress === '') return
   const endpoint = `${directive.task}@${directive.attempt}`
   endpoints.set(
@@ -32,7 +32,7 @@
   )
 }
 
-const closeEndpoint = (directive: wire.StartDirective) => {
+const closeEndpoint = (directive: protocol.workerApi.StartTaskJson) => {
   const endpoint = endpoints.get(directive.task)
   endpoints.delete(directive.task)
   void endpoint?.then((opened) => {
--- a/packages/stand-ins/src/fakeWorker.ts
+++ b/packages/stand-ins/src/fakeWorker.ts
@@ -1,8 +1,8 @@
 /** Stand-in for one worker of the platform: the worker side of the worker protocol. */
+import type * as protocol from '@ebonyweir/protocol'
 import * as undici from 'undici'
 import * as record from './record.js'
 import * as workerTasks from './workerTasks.js'
-import type * as wire from './workerWire.js'
 
 /** Options of a fake worker. */
 export interface FakeWorkerOptions extends workerTasks.TaskBehaviour {
@@ -22,10 +22,10 @@
   readonly syncTimeoutMs?: number
   /** Guards of the protocol that a test switches off to see its check fail. @default [] */
   readonly guardsOff?: readonly WorkerGuard[]
-  readonly onServiceStart?: (directive: wire.StartDirective) => void
-  readonly onServiceStop?: (directive: wire.StartDirective) => void
+  readonly onServiceStart?: (directive: protocol.workerApi.StartTaskJson) => void
+  readonly onServiceStop?: (directive: protocol.workerApi.StartTaskJson) => void
   /** Latency that the worker observes at its services. */
-  readonly services?: () => wire.WorkerSyncRequest['services']
+  readonly services?: () => protocol.workerApi.WorkerSyncRequest['services']
   /** Numbers in [0, 1). @default Math.random */
   readonly random?: () => number
   /** Connections to control, shared by the workers of one process. */
@@ -42,8 +42,8 @@
   readonly leaseLeftMs: number
   readonly epoch: number
   readonly syncs: number
-  readonly running: readonly wire.RunningTask[]
-  readonly ended: readonly wire.EndedTask[]
+  readonly running: readonly protocol.workerApi.RunningTaskJson[]
+  readonly ended: readonly protocol.workerApi.EndedTaskJson[]
 }
 
 /** A running fake worker. */
@@ -97,7 +97,7 @@
     recorder.note({ kind: 'replyIgnored', worker, reason, ageMs })
   }
 
-  const applyReply = (reply: wire.WorkerSyncReply, sync: SentSync, nowMs: number) => {
+  const applyReply = (reply: protocol.workerApi.WorkerSyncReply, sync: SentSync, nowMs: number) => {
     const ageMs = nowMs - sync.sentMs
     if (reply.sequence !== sequence) {
       ignore('not the newest sync', ageMs)
@@ -131,7 +131,7 @@
     target = options.controlAddresses[(at + 1) % options.controlAddresses.length] ?? target
   }
 
-  const exchange = async (sync: SentSync, body: wire.WorkerSyncRequest) => {
+  const exchange = async (sync: SentSync, body: protocol.workerApi.WorkerSyncRequest) => {
     const url = `http://${target}/v1/workers/${encodeURIComponent(worker)}/sync`
     const response = await undici.request(url, {
       method: 'POST',
@@ -147,7 +147,7 @@
     if (outstanding !== sync) return
     outstanding = undefined
     if (response.statusCode === 200) {
-      applyReply(answer as wire.WorkerSyncReply, sync, nowMs)
+      applyReply(answer as protocol.workerApi.WorkerSyncReply, sync, nowMs)
       return
     }
     nextSyncMs = nowMs + RETRY_MS
@@ -162,7 +162,7 @@
     outstanding = sync
     nextSyncMs = nowMs + DEFAULT_SYNC_MS
     const { cell, rack, capacity } = options
-    const body: wire.WorkerSyncRequest = {
+    const body: protocol.workerApi.WorkerSyncRequest = {
       cell,
       worker,
       incarnation,
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -13,6 +13,8 @@
   readonly direction?: 'both' | 'toTarget' | 'toClient'
   /** `old`: only connections that exist now; new ones pass. @default 'all' */
   readonly scope?: 'all' | 'old'
+  /** Only connections of these clients, as `clientOf` names them. @default all */
+  readonly clients?: readonly number[]
 }
 
 /** Options of a relay. */
@@ -21,6 +23,8 @@
   readonly target: string
   /** @default 0, a free port */
   readonly port?: number
+  /** Names the client of a connection by its port, for example by process id. @default 0 */
+  readonly clientOf?: (clientPort: number) => number | undefined
 }
 
 /** A running relay. */
@@ -28,6 +32,8 @@
   readonly port: number
   readonly address: string
   readonly change: (mode: RelayMode) => void
+  /** Where new connections go from now on. */
+  readonly retarget: (target: string) => void
   readonly status: () => {
     readonly connections: number
     readonly bytesToTarget: number
@@ -48,6 +54,7 @@
 }
 
 interface Pair {
+  readonly client: number | undefined
   readonly toTarget: Pipe
   readonly toClient: Pipe
   readonly close: () => void
@@ -71,60 +78,70 @@
 const finish = (pipe: Pipe) => {
   if (pipe.dead || pipe.action === 'drop') return
   if (pipe.action === 'hold') pipe.ended = true
-  else pipe.to.destroy()
+  else pipe.to.destroySoon()
 }
 
 const setAction = (pipe: Pipe, action: Action) => {
   pipe.action = action
   if (action !== 'pass' || pipe.dead) return
   for (const chunk of pipe.held.splice(0)) pipe.to.write(chunk)
-  if (pipe.ended) pipe.to.destroy()
+  if (pipe.ended) pipe.to.destroySoon()
 }
 
 /** Starts a relay on loopback. */
 export const createRelay = async (options: RelayOptions): Promise<Relay> => {
-  const [host, port] = options.target.split(':')
+  let target = options.target
   const pairs = new Set<Pair>()
   let forNew: RelayMode = { action: 'pass' }
   let bytesToTarget = 0
   let bytesToClient = 0
 
-  const actionFor = (mode: RelayMode, direction: 'toTarget' | 'toClient'): Action =>
-    (mode.direction ?? 'both') === 'both' || mode.direction === direction ? mode.action : 'pass'
+  const actionFor = (
+    mode: RelayMode,
+    direction: 'toTarget' | 'toClient',
+    client: number | undefined,
+  ): Action => {
+    const concerned = mode.clients === undefined || mode.clients.includes(client ?? 0)
+    const along = mode.direction === undefined || mode.direction === 'both'
+    return concerned && (along || mode.direction === direction) ? mode.action : 'pass'
+  }
 
   const join = (client: net.Socket) => {
-    const target = net.connect(Number(port), host)
-    const toTarget = createPipe(target, actionFor(forNew, 'toTarget'))
-    const toClient = createPipe(client, actionFor(forNew, 'toClient'))
+    const [host, port] = target.split(':')
+    const clientName = options.clientOf?.(client.remotePort ?? 0)
+    const outgoing = net.connect(Number(port), host)
+    const toTarget = createPipe(outgoing, actionFor(forNew, 'toTarget', clientName))
+    const toClient = createPipe(client, actionFor(forNew, 'toClient', clientName))
     const pair: Pair = {
+      client: clientName,
       toTarget,
       toClient,
       close: () => {
         client.destroy()
-        target.destroy()
+        outgoing.destroy()
       },
     }
     pairs.add(pair)
     const forget = () => {
-      if (client.destroyed && target.destroyed) pairs.delete(pair)
+      if (client.destroyed && outgoing.destroyed) pairs.delete(pair)
     }
     client.setNoDelay(true)
-    target.setNoDelay(true)
+    outgoing.setNoDelay(true)
     client.on('data', (chunk: Buffer) => {
       bytesToTarget += chunk.length
       push(toTarget, chunk)
     })
-    target.on('data', (chunk: Buffer) => {
+    outgoing.on('data', (chunk: Buffer) => {
       bytesToClient += chunk.length
       push(toClient, chunk)
     })
     client.on('error', () => undefined)
-    target.on('error', () => undefined)
+    outgoing.on('error', () => undefined)
     client.on('close', () => {
       finish(toTarget)
       forget()
     })
-    target.on('close', () => {
+    outgoing.on('close', () => {
       finish(toClient)
       forget()
     })
@@ -138,10 +155,13 @@
     change: (mode) => {
       forNew = mode.scope === 'old' ? { action: 'pass' } : mode
       for (const pair of pairs) {
-        setAction(pair.toTarget, actionFor(mode, 'toTarget'))
-        setAction(pair.toClient, actionFor(mode, 'toClient'))
+        setAction(pair.toTarget, actionFor(mode, 'toTarget', pair.client))
+        setAction(pair.toClient, actionFor(mode, 'toClient', pair.client))
       }
     },
+    retarget: (next) => {
+      target = next
+    },
     status: () => ({ connections: pairs.size, bytesToTarget, bytesToClient }),
     close: () => {
       server.close()
--- a/packages/stand-ins/src/workerTasks.ts
+++ b/packages/stand-ins/src/workerTasks.ts
@@ -1,6 +1,6 @@
 /** The tasks of one fake worker: starts, work, checkpoints, stops. No sockets and no timers. */
+import type * as protocol from '@ebonyweir/protocol'
 import * as record from './record.js'
-import type * as wire from './workerWire.js'
 
 /** How the tasks of a fake worker behave. */
 export interface TaskBehaviour {
@@ -16,14 +16,20 @@
   readonly usageLagMs?: number
 }
 
+interface Sample {
+  readonly atMs: number
+  readonly wallMs: number
+  readonly usage: record.Resources
+}
+
 interface ActiveTask {
-  readonly directive: wire.StartDirective
+  readonly directive: protocol.workerApi.StartTaskJson
   readonly runMs: number
   readonly fails: boolean
   workedMs: number
   lastWorkedMs: number
   cpuPercent: number
-  readonly samples: { readonly atMs: number; readonly usage: record.Resources }[]
+  readonly samples: Sample[]
 }
 
 /** Who the tasks belong to, and where their starts and stops are recorded. */
@@ -33,33 +39,34 @@
   readonly failureDomain: string
   readonly recorder: record.Recorder
   /** Called after a service task started. */
-  readonly onServiceStart?: (directive: wire.StartDirective) => void
+  readonly onServiceStart?: (directive: protocol.workerApi.StartTaskJson) => void
   /** Called before a service task stops. */
-  readonly onServiceStop?: (directive: wire.StartDirective) => void
+  readonly onServiceStop?: (directive: protocol.workerApi.StartTaskJson) => void
   /** Numbers in [0, 1). */
   readonly random: () => number
 }
 
 /** The tasks of one fake worker. */
 export interface WorkerTasks {
-  readonly start: (directive: wire.StartDirective, nowMs: number) => void
-  readonly stop: (attempt: wire.TaskAttempt) => void
-  readonly checkpoint: (attempt: wire.TaskAttempt) => void
-  readonly throttle: (attempt: wire.TaskAttempt, cpuPercent: number) => void
-  readonly acknowledge: (attempts: readonly wire.TaskAttempt[]) => void
+  readonly start: (directive: protocol.workerApi.StartTaskJson, nowMs: number) => void
+  readonly stop: (attempt: protocol.workerApi.AttemptJson) => void
+  readonly checkpoint: (attempt: protocol.workerApi.AttemptJson) => void
+  readonly throttle: (attempt: protocol.workerApi.AttemptJson, cpuPercent: number) => void
+  readonly acknowledge: (attempts: readonly protocol.workerApi.AttemptJson[]) => void
   /** Lets every task work until `nowMs`. The caller has checked the lease. */
   readonly work: (nowMs: number) => void
   /** Checkpoints and stops everything. */
   readonly stopAll: (reason: string) => void
-  readonly running: (nowMs: number) => readonly wire.RunningTask[]
-  readonly ended: () => readonly wire.EndedTask[]
+  readonly running: (nowMs: number) => readonly protocol.workerApi.RunningTaskJson[]
+  readonly ended: () => readonly protocol.workerApi.EndedTaskJson[]
   readonly count: () => number
 }
 
 const UNIT_MS = 100
 const SAMPLES_KEPT = 64
 
-const nameOf = (attempt: wire.TaskAttempt): string => `${attempt.task}#${attempt.attempt}`
+const nameOf = (attempt: protocol.workerApi.AttemptJson): string =>
+  `${attempt.task}#${attempt.attempt}`
 
 const unitsOf = (checkpoint: string): number => {
   const units = /^cp:.*:(\d+)$/.exec(checkpoint)?.[1]
@@ -74,21 +81,21 @@
 /** Creates the tasks of one worker. A command may state `run=<ms>` and `fail`. */
 export const createWorkerTasks = (host: TaskHost, behaviour: TaskBehaviour): WorkerTasks => {
   const active = new Map<string, ActiveTask>()
-  const ended = new Map<string, wire.EndedTask>()
+  const ended = new Map<string, protocol.workerApi.EndedTaskJson>()
   // Attempts that never start again here, by task: the highest one that ended or was cancelled.
   const finished = new Map<string, number>()
 
   const checkpointOf = (task: ActiveTask): string =>
-    task.directive.kind === 'service'
+    task.directive.service !== ''
       ? ''
       : `cp:${task.directive.task}:${task.directive.attempt}:${Math.floor(task.workedMs / UNIT_MS)}`
 
-  const end = (task: ActiveTask, outcome: wire.EndedTask['outcome'], reason: string) => {
+  const end = (task: ActiveTask, outcome: protocol.workerApi.EndedOutcome, reason: string) => {
     const { directive } = task
     const checkpoint = outcome === 'evicted' ? checkpointOf(task) : ''
     active.delete(directive.task)
     finished.set(directive.task, directive.attempt)
-    if (directive.kind === 'service') host.onServiceStop?.(directive)
+    if (directive.service !== '') host.onServiceStop?.(directive)
     const fields = { task: directive.task, attempt: directive.attempt, outcome, checkpoint, reason }
     ended.set(nameOf(directive), fields)
     host.recorder.note({
@@ -99,12 +106,12 @@
     })
   }
 
-  const find = (attempt: wire.TaskAttempt): ActiveTask | undefined => {
+  const find = (attempt: protocol.workerApi.AttemptJson): ActiveTask | undefined => {
     const task = active.get(attempt.task)
     return task?.directive.attempt === attempt.attempt ? task : undefined
   }
 
-  const begin = (directive: wire.StartDirective, nowMs: number) => {
+  const begin = (directive: protocol.workerApi.StartTaskJson, nowMs: number) => {
     active.set(directive.task, {
       directive,
       runMs: runMsOf(directive.command) ?? behaviour.runMs ?? 2000,
@@ -125,7 +132,7 @@
       resources: { cpuMillis, memoryMb, accelerators },
       checkpoint: directive.checkpoint,
     })
-    if (directive.kind === 'service') host.onServiceStart?.(directive)
+    if (directive.service !== '') host.onServiceStart?.(directive)
   }
 
   const sample = (task: ActiveTask, nowMs: number) => {
@@ -137,7 +144,7 @@
       memoryMb: Math.round(memoryMb * factor),
       accelerators,
     }
-    task.samples.push({ atMs: nowMs, usage })
+    task.samples.push({ atMs: nowMs, wallMs: Date.now(), usage })
     if (task.samples.length > SAMPLES_KEPT) task.samples.shift()
   }
 
@@ -145,16 +152,19 @@
     task.workedMs += ((nowMs - task.lastWorkedMs) * task.cpuPercent) / 100
     task.lastWorkedMs = nowMs
     if (task.fails) end(task, 'failed', 'the task failed')
-    else if (task.directive.kind !== 'service' && task.workedMs >= task.runMs)
+    else if (task.directive.service === '' && task.workedMs >= task.runMs)
       end(task, 'completed', '')
   }
 
-  const usageOf = (task: ActiveTask, nowMs: number): wire.RunningTask['usage'] => {
+  const usageOf = (
+    task: ActiveTask,
+    nowMs: number,
+  ): protocol.workerApi.RunningTaskJson['usage'] => {
     sample(task, nowMs)
     const visible = task.samples.filter((s) => s.atMs <= nowMs - (behaviour.usageLagMs ?? 0))
     const shown = visible.at(-1)
     const none = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
-    return { ...(shown?.usage ?? none), atMs: Math.round(shown?.atMs ?? 0) }
+    return { ...(shown?.usage ?? none), atMs: shown?.wallMs ?? 0 }
   }
 
   return {
