feat(control): join the role with the daemon and the request path

Cause: daemon, entry and control-state expected slightly different types. Change: start() gives addresses, failed reports a failing disk; entries report their HTTP address; settled claims keep the agent that retains the answer. Measured: type check and eslint of packages/control pass.

--- a/packages/control-state/__tests__/controlState.spec.ts
+++ b/packages/control-state/__tests__/controlState.spec.ts
@@ -178,13 +178,17 @@
   const { ClaimState } = protocol.control
   const { ClaimOutcome } = protocol.command
   const key = { service: 's', caller: 'c', key: 'k' }
+  const agent = { agent: 'a', agentAddress: '127.0.0.1:1', agentIncarnation: 1 }
   const claim = (log: Log, requestId: string, digest = 'd') => {
     const value = { ...key, requestId, digest, entry: 'e' }
     const outcome = log.run({ $case: 'claimRequest', value })
     return outcome.kind === 'claim' ? outcome.state : outcome.kind
   }
   const settle = (log: Log, requestId: string, outcome: protocol.command.ClaimOutcome) =>
-    log.run({ $case: 'settleClaim', value: { ...key, requestId, outcome, answerStatus: 200 } })
+    log.run({
+      $case: 'settleClaim',
+      value: { ...key, ...agent, requestId, outcome, answerStatus: 200 },
+    })
   const cases: readonly (readonly [string, (log: Log) => unknown, string])[] = [
     ['another request', (log) => claim(log, 'r2'), ClaimState.IN_PROGRESS],
     ['the same request', (log) => claim(log, 'r1'), ClaimState.GRANTED],
--- a/packages/control-state/src/claims.ts
+++ b/packages/control-state/src/claims.ts
@@ -31,7 +31,17 @@
   if (tables.claims.size >= limits.MAX_CLAIMS)
     return { kind: 'refused', reason: `${limits.MAX_CLAIMS} claims are kept` }
   const { requestId, digest, entry } = request
-  const claim = { requestId, digest, entry, outcome: undefined, answerStatus: 0, settledAtMs: 0 }
+  const claim: records.ClaimRecord = {
+    requestId,
+    digest,
+    entry,
+    outcome: undefined,
+    answerStatus: 0,
+    agent: '',
+    agentAddress: '',
+    agentIncarnation: 0,
+    settledAtMs: 0,
+  }
   tables.claims.set(key, claim)
   return { kind: 'claim', state: ClaimState.GRANTED, claim }
 }
@@ -57,6 +67,9 @@
   }
   claim.outcome = settle.outcome
   claim.answerStatus = settle.answerStatus
+  claim.agent = settle.agent
+  claim.agentAddress = settle.agentAddress
+  claim.agentIncarnation = settle.agentIncarnation
   claim.settledAtMs = tables.logTimeMs
   tables.settledClaims.delete(key)
   tables.settledClaims.add(key)
--- a/packages/control-state/src/types.ts
+++ b/packages/control-state/src/types.ts
@@ -159,4 +159,8 @@
   /** Undefined while the claim is open. */
   readonly outcome: protocol.command.ClaimOutcome | undefined
   readonly answerStatus: number
+  /** Agent that retains the finished answer; empty if none was named. */
+  readonly agent: string
+  readonly agentAddress: string
+  readonly agentIncarnation: number
 }
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -29,9 +29,22 @@
 const DIRECTORY_EXPIRY_INTERVAL_MS = 500
 const GRPC_STOP_TIMEOUT_MS = 1_000
 
+export interface ControlAddresses {
+  readonly grpcAddress: string
+  readonly httpAddress: string
+}
+
+/** Why the role did not start or cannot go on; `detail` is for people. */
+export interface ControlError {
+  readonly reason: 'data-folder' | 'listen' | 'disk' | 'invariant'
+  readonly detail: string
+}
+
 export interface Control {
-  /** Opens the data folder and starts the servers; the error says what failed. */
-  readonly start: () => Promise<results.Result<void, string>>
+  /** Opens the data folder and starts the servers. */
+  readonly start: () => Promise<results.Result<ControlAddresses, ControlError>>
+  /** Resolves after a failing disk or a broken invariant; the process must exit. */
+  readonly failed: Promise<ControlError>
   /** Hands leadership over and closes the servers after requests in progress. */
   readonly stop: () => Promise<void>
 }
@@ -92,6 +105,10 @@
   const peers = transport.createTransport()
   const nowMs = (): number => performance.now()
   const timers: NodeJS.Timeout[] = []
+  let reportFailure: (error: ControlError) => void = () => undefined
+  const failed = new Promise<ControlError>((resolve) => {
+    reportFailure = resolve
+  })
   let leaderTerm: leaderTerms.LeaderTerm | undefined
   let running: { readonly stop: () => Promise<void> } | undefined
 
@@ -103,7 +120,7 @@
     if (role !== 'leader' || !leaseValid) return undefined
     if (leaderTerm?.term !== term) {
       leaderTerm = leaderTerms.createLeaderTerm(term, nowMs())
-      resolved.log.info('leading', { term })
+      resolved.logger.info('leading', { term })
     }
     return leaderTerm
   }
@@ -146,12 +163,14 @@
       dataFolder: resolved.dataFolder,
       stateMachine: createStateMachine(state),
       transport: peers,
-      onFatal: ({ detail }) => {
-        resolved.onFatal(detail)
+      onFatal: ({ kind, detail }) => {
+        reportFailure({ reason: kind, detail })
       },
     })
-    if (opened.isErr())
-      return results.Err(`cannot open ${resolved.dataFolder}: ${opened.error.detail}`)
+    if (opened.isErr()) {
+      const detail = `cannot open ${resolved.dataFolder}: ${opened.error.detail}`
+      return results.Err({ reason: 'data-folder', detail })
+    }
     const node = opened.value
     const ctx = createContext(node)
     const grpcEndpoint = grpcServer.createGrpcServer(ctx)
@@ -160,13 +179,13 @@
       createRoutes(ctx, controlMetrics),
       resolved.httpAddress,
       (error) => {
-        resolved.log.error('request failed', { error: String(error) })
+        resolved.logger.error('request failed', { error: String(error) })
       },
     )
     const bound = await grpcEndpoint.start()
-    if (bound.isErr()) return bound
+    if (bound.isErr()) return results.Err({ reason: 'listen', detail: bound.error })
     const listening = await http.start()
-    if (listening.isErr()) return listening
+    if (listening.isErr()) return results.Err({ reason: 'listen', detail: listening.error })
     node.start()
     startTimers(ctx)
     running = {
@@ -179,7 +198,8 @@
         peers.close()
       },
     }
-    return results.Ok(undefined)
+    const { grpcAddress, httpAddress } = resolved
+    return results.Ok({ grpcAddress, httpAddress })
   }
 
   const stop: Control['stop'] = async () => {
@@ -188,5 +208,5 @@
     running = undefined
   }
 
-  return { start, stop }
+  return { start, stop, failed }
 }
--- a/packages/control/src/memberRoutes.ts
+++ b/packages/control/src/memberRoutes.ts
@@ -87,7 +87,7 @@
     'add' in request ? { kind: 'add', member: request.add } : { kind: 'remove', id: request.remove }
   const result = await ctx.replica.changeMembers(change)
   if (result.isErr()) return failure(ctx, result.error)
-  ctx.options.log.info('membership changed', { change, operator: request.operator })
+  ctx.options.logger.info('membership changed', { change, operator: request.operator })
   return members(ctx)
 }
 
--- a/packages/control/src/options.ts
+++ b/packages/control/src/options.ts
@@ -17,9 +17,7 @@
   readonly scheduleIntervalMs?: number
   /** Pause that workers are asked to keep between two syncs, in milliseconds. @default 1000 */
   readonly workerSyncIntervalMs?: number
-  readonly log: telemetry.Logger
-  /** Called at most once, after a failing disk or a broken invariant; the process must exit. */
-  readonly onFatal: (detail: string) => void
+  readonly logger: telemetry.Logger
 }
 
 export type ResolvedControlOptions = Required<ControlOptions>
--- a/packages/control/src/schedulingLoop.ts
+++ b/packages/control/src/schedulingLoop.ts
@@ -76,7 +76,7 @@
   const result = await ctx.propose({ $case: 'endTasks', value: { ends } })
   term.endingLost.delete(worker.worker)
   if (result.isErr()) return
-  ctx.options.log.warn('worker lost', { worker: worker.worker, tasks: ends.length })
+  ctx.options.logger.warn('worker lost', { worker: worker.worker, tasks: ends.length })
   for (const { task, reason } of ends)
     term.decisions.add(task, { atMs: Date.now(), text: `lost: ${reason}` })
 }
--- a/packages/control/src/statusRoutes.ts
+++ b/packages/control/src/statusRoutes.ts
@@ -1,6 +1,7 @@
 /** Operator API: state of the cell. */
 import type * as controlState from '@ebonyweir/control-state'
 import type * as protocol from '@ebonyweir/protocol'
+import * as rules from '@ebonyweir/rules'
 import type * as context from './context.js'
 import type * as httpRouter from './httpRouter.js'
 import * as jobRoutes from './jobRoutes.js'
@@ -149,6 +150,19 @@
   return replies.ok(answer)
 }
 
+const objectivesOf = (
+  ctx: context.ControlContext,
+): readonly protocol.operatorApi.ServiceObjective[] => {
+  const parsed = rules.parseRules(ctx.view.rulesText().text, 'rules')
+  if (parsed.isErr()) return []
+  return [...parsed.value.services].map(([service, rule]) => ({
+    service,
+    objective: rule.objective,
+    targetMs: rule.targetMs,
+    rule: referenceOf(rule),
+  }))
+}
+
 const burn = (ctx: context.ControlContext): httpRouter.HttpReply => {
   const term = ctx.term()
   if (!term) return replies.redirect(ctx)
@@ -157,12 +171,7 @@
     role: 'control',
     name: ctx.options.name,
     nowMs: Date.now(),
-    objectives: [...ctx.view.rules().services].map(([service, rule]) => ({
-      service,
-      objective: rule.objective,
-      targetMs: rule.targetMs,
-      rule: referenceOf(rule),
-    })),
+    objectives: objectivesOf(ctx),
     buckets: term.burn.all(),
   } satisfies protocol.operatorApi.BurnAnswer)
 }
--- a/packages/entry/src/entrySync.ts
+++ b/packages/entry/src/entrySync.ts
@@ -42,6 +42,7 @@
         knownDirectoryEpoch: directory.knownEpoch(),
         knownDirectoryVersion: directory.knownVersion(),
         buckets: unsent,
+        httpAddress: options.httpAddress,
       },
       SYNC_TIMEOUT_MS,
     )
