--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,14 @@
-export {}
+/** Stand-ins for the systems outside the project, their observer's records, and the audit. */
+export * as audit from './audit.js'
+export * as echo from './echo.js'
+export * as fakeCaller from './fakeCaller.js'
+export * as fakeEndpoint from './fakeEndpoint.js'
+export * as fakeWorker from './fakeWorker.js'
+export * as record from './record.js'
+export * as relay from './relay.js'
+export * as managedProcess from './managedProcess.js'
+export * as operatorSession from './operatorSession.js'
+export * as systemProcess from './systemProcess.js'
+export * as testSystem from './testSystem.js'
+export * as waiting from './waiting.js'
+export * as json from './json.js'
