--- a/packages/control-state/src/assignments.ts
+++ b/packages/control-state/src/assignments.ts
@@ -5,7 +5,6 @@
 import type * as outcome from './outcome.js'
 import * as placement from './placement.js'
 import * as records from './records.js'
-import * as serviceTasks from './serviceTasks.js'
 import * as taskId from './taskId.js'
 import type * as types from './types.js'
 
@@ -128,7 +127,7 @@
   }
   if (service !== undefined) {
     service.tasks.set(task.number, task)
-    serviceTasks.refreshService(tables, service)
+    service.serving += 1
   }
 }
 
--- a/packages/control-state/src/outcome.ts
+++ b/packages/control-state/src/outcome.ts
@@ -27,8 +27,11 @@
 export interface EndResult {
   readonly task: string
   readonly attempt: number
-  /** `stale`: the attempt had ended before; the report may be acknowledged and forgotten. */
-  readonly result: 'ended' | 'stale'
+  /**
+   * `stale`: the attempt had ended before; the report may be acknowledged and forgotten.
+   * `refused`: the end names no outcome.
+   */
+  readonly result: 'ended' | 'stale' | 'refused'
 }
 
 export interface CancelResult {
--- a/packages/control-state/src/rulesCommands.ts
+++ b/packages/control-state/src/rulesCommands.ts
@@ -60,12 +60,6 @@
   rules.records = next
 }
 
-/** Puts a rule set in force. Also used to rebuild the set after a restore. */
-export const installRules = (tables: records.Tables, set: types.RuleSet): void => {
-  tables.rules.set = set
-  serviceTasks.refreshServices(tables)
-}
-
 export const applyRules = (
   tables: records.Tables,
   command: protocol.command.ApplyRules,
@@ -88,7 +82,8 @@
   rules.history.set(revision, { digest, operator })
   dropOldest(rules.history, limits.MAX_RULE_HISTORY)
   replaceRecords(rules, parsed.value, revision)
-  installRules(tables, parsed.value)
+  tables.rules.set = parsed.value
+  serviceTasks.refreshServices(tables)
   return { kind: 'rulesAccepted', revision, resent: false }
 }
 
--- a/packages/control-state/src/serviceTasks.ts
+++ b/packages/control-state/src/serviceTasks.ts
@@ -6,6 +6,10 @@
   return worker !== undefined && !records.isOut(tables, worker.failureDomain)
 }
 
+/** Whether a runner counts towards the runners its rule asks for. */
+export const isCounted = (tables: records.Tables, task: records.TaskRecord): boolean =>
+  !tables.stopping.has(task) && isServing(tables, task)
+
 /** Highest numbers first, so that the lowest numbers stay. */
 const surplusOf = (serving: readonly records.TaskRecord[], runners: number) =>
   [...serving].sort((a, b) => b.number - a.number).slice(0, Math.max(0, serving.length - runners))
@@ -30,3 +34,13 @@
     refreshService(tables, service)
   }
 }
+
+/** Attaches rules and counts after a restore; which tasks stop is part of the snapshot. */
+export const recountServices = (tables: records.Tables): void => {
+  const { services } = tables.rules.set
+  for (const name of services.keys()) records.serviceOf(tables, name)
+  for (const service of tables.services.values()) {
+    service.rule = services.get(service.service)
+    service.serving = [...service.tasks.values()].filter((task) => isCounted(tables, task)).length
+  }
+}
--- a/packages/control-state/src/snapshot.ts
+++ b/packages/control-state/src/snapshot.ts
@@ -2,8 +2,8 @@
 import * as result from 'ts-results-es'
 import * as jobs from './jobs.js'
 import * as records from './records.js'
-import * as rulesCommands from './rulesCommands.js'
 import * as serviceTasks from './serviceTasks.js'
+import * as taskEnds from './taskEnds.js'
 import type * as types from './types.js'
 
 const FORMAT = 'ebonyweir-control-state'
@@ -162,7 +162,7 @@
     linkToWorker(tables, task)
   }
   for (const name of snapshot.stopping) {
-    const task = tables.tasks.get(name)
+    const task = taskEnds.assignedTask(tables, name)
     if (task !== undefined) tables.stopping.add(task)
   }
 }
@@ -186,7 +186,7 @@
   restoreTasks(tables, snapshot)
   for (const [key, claim] of snapshot.claims) tables.claims.set(key, claim)
   for (const key of snapshot.settledClaims) tables.settledClaims.add(key)
-  rulesCommands.installRules(tables, set.value)
-  for (const service of tables.services.values()) serviceTasks.refreshService(tables, service)
+  tables.rules.set = set.value
+  serviceTasks.recountServices(tables)
   return result.Ok(tables)
 }
--- a/packages/control-state/src/taskEnds.ts
+++ b/packages/control-state/src/taskEnds.ts
@@ -9,7 +9,11 @@
 
 const { TaskOutcome } = protocol.command
 
-const assignedTask = (tables: records.Tables, task: string): records.TaskRecord | undefined => {
+/** The task with this id, if it is assigned. */
+export const assignedTask = (
+  tables: records.Tables,
+  task: string,
+): records.TaskRecord | undefined => {
   const id = taskId.parseTaskId(task)
   if (id === undefined) return undefined
   const found =
@@ -87,15 +91,17 @@
     task.failedOn = task.worker
   }
   if (checkpoint !== '') task.checkpoint = checkpoint
+  const wasCounted = task.kind === 'service' && serviceTasks.isCounted(tables, task)
   release(tables, task)
   if (task.kind === 'batch') settleBatch(tables, task, ended)
-  else serviceTasks.refreshService(tables, records.serviceOf(tables, task.owner))
+  else if (wasCounted) records.serviceOf(tables, task.owner).serving -= 1
 }
 
 const endOne = (
   tables: records.Tables,
   end: protocol.command.TaskEnd,
 ): outcome.EndResult['result'] => {
+  if (end.outcome === TaskOutcome.TASK_OUTCOME_UNSPECIFIED) return 'refused'
   const task = assignedTask(tables, end.task)
   if (task?.attempt !== end.attempt) return 'stale'
   endAttempt(tables, task, end.outcome, end.checkpoint)
