--- /dev/null
+++ b/packages/stand-ins/__tests__/faults/control.spec.ts
@@ -0,0 +1,189 @@
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+import type * as protocol from '@ebonyweir/protocol'
+import * as support from './support.js'
+
+const { describe, expect, test } = vitest
+const { sleep, waitFor } = standIns.waiting
+
+/** Longer than every lease: of the leader, of the configuration, of the workers. */
+const BEYOND_LEASES_MS = 15_000
+
+const TEAM = (n: number): string =>
+  `team.team-${n} = { cpuMillis = 1000, memoryMb = 1024 } # Operations, change ${n}`
+
+type Replica = standIns.systemProcess.ControlProcess
+
+/** Notes what a replica itself answers as the rules in force; nothing while it refuses. */
+const noteRevision = async (system: support.System, replica: Replica): Promise<void> => {
+  const askedMs = standIns.record.monotonicMs()
+  try {
+    const answer = await system.operator.ask(replica.httpAddress, 'GET', '/v1/rules')
+    if (answer.status !== 200) return
+    const { revision } = answer.body as protocol.operatorApi.RulesAnswer
+    system.recorder.note({ kind: 'revisionSeen', process: replica.name, revision, askedMs })
+  } catch {
+    // Nothing is in force at a replica that gives no answer.
+  }
+}
+
+describe('faults of control replicas', () => {
+  interface Case {
+    readonly name: string
+    /** Lets the fault begin at the leader; what it returns ends it. */
+    readonly fault: (system: support.System, leader: Replica) => () => Promise<void> | void
+  }
+  const cases: readonly Case[] = [
+    {
+      name: 'the leader is killed and restarted',
+      fault: (_system, leader) => {
+        leader.process().signal('SIGKILL')
+        return () => leader.restart()
+      },
+    },
+    {
+      name: 'the leader freezes and resumes',
+      fault: (_system, leader) => {
+        leader.process().signal('SIGSTOP')
+        return () => {
+          leader.process().signal('SIGCONT')
+        }
+      },
+    },
+    {
+      name: 'the leader is cut off silently, both ways, and what was sent arrives late',
+      fault: (system, leader) => {
+        system.cutOff(leader, 'hold')
+        return () => {
+          system.reconnect()
+        }
+      },
+    },
+    {
+      name: 'the leader loses the state of every connection, both ways',
+      fault: (system, leader) => {
+        system.cutOff(leader, 'drop')
+        return () => {
+          system.reconnect()
+        }
+      },
+    },
+    {
+      name: 'the leader can send and receives nothing',
+      fault: (system, leader) => {
+        leader.grpcRelay.change({ action: 'drop', direction: 'toTarget' })
+        leader.httpRelay.change({ action: 'drop', direction: 'toTarget' })
+        for (const other of system.control.filter((c) => c !== leader)) {
+          const clients = [leader.process().pid]
+          other.grpcRelay.change({ action: 'drop', direction: 'toClient', clients })
+        }
+        return () => {
+          system.reconnect()
+        }
+      },
+    },
+    {
+      name: 'every open connection of the group goes silent while new ones work',
+      fault: (system) => {
+        for (const replica of system.control) {
+          replica.grpcRelay.change({ action: 'drop', scope: 'old' })
+          replica.httpRelay.change({ action: 'drop', scope: 'old' })
+        }
+        return () => undefined
+      },
+    },
+  ]
+
+  // Guards against two leaders, a lost or reverted change, and tasks that stop or double with the leader.
+  test.each(cases)(
+    '$name: changes go on, none reverts, tasks run once',
+    async ({ fault }) => {
+      const result = await support.auditRun({}, async (system) => {
+        const workers = await support.startWorkers(system)
+        await system.operator.submit({ job: 'fitting-long', tasks: 3, command: 'run=8000' })
+        await support.waitForRunning(workers, 'fitting-long', 3)
+        const leader = await system.leader()
+        const end = fault(system, leader)
+        const watch = setInterval(() => {
+          for (const replica of system.control) void noteRevision(system, replica)
+        }, 250)
+        const startedMs = performance.now()
+        for (let change = 1; performance.now() - startedMs < BEYOND_LEASES_MS; change++) {
+          await system.operator.apply(support.rulesWith(TEAM(change)))
+          await sleep(500)
+        }
+        await end()
+        await system.operator.apply(support.rulesWith(TEAM(1000)))
+        await support.waitForJob(system, 'fitting-long', 'completed', 90_000)
+        await sleep(2000)
+        clearInterval(watch)
+        const members = await waitFor('the group to be whole', async () => {
+          const seen = await system.operator.members()
+          return seen.repaired ? seen : undefined
+        })
+        expect(members.members).toHaveLength(3)
+        expect((await system.operator.rules()).text).toContain('team.team-1000 ')
+      })
+      support.expectKept(result, 'taskStarted', 'revisionAccepted', 'revisionSeen')
+      expect(result.counts.taskStarted).toBe(3)
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  // Guards against acknowledged changes that were not synced.
+  test(
+    'every replica is killed at once and restarted: accepted changes are there',
+    async () => {
+      const result = await support.auditRun({}, async (system) => {
+        for (let change = 1; change <= 5; change++) {
+          await system.operator.apply(support.rulesWith(TEAM(change)))
+        }
+        const before = await system.operator.rules()
+        await Promise.all(system.control.map((replica) => replica.process().kill()))
+        await Promise.all(system.control.map((replica) => replica.restart()))
+        expect(await system.operator.rules()).toMatchObject({
+          revision: before.revision,
+          digest: before.digest,
+          text: before.text,
+        })
+      })
+      support.expectKept(result, 'revisionAccepted', 'processExited')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  // Guards against a replica without its log that votes as if it had it, and a repair that is none.
+  test(
+    'a deleted data folder, a repair, and a second loss right after it',
+    async () => {
+      const result = await support.auditRun({}, async (system) => {
+        const leader = await system.leader()
+        const victim = system.control.find((c) => c !== leader)
+        const other = system.control.find((c) => c !== leader && c !== victim)
+        if (victim === undefined || other === undefined) throw new Error('three replicas expected')
+        const lost = (await system.operator.members()).members.find(
+          (m) => m.httpAddress === victim.httpRelay.address,
+        )
+        await victim.process().kill()
+        victim.deleteData()
+        await victim.restart()
+        await system.operator.apply(support.rulesWith(TEAM(1)))
+        const unrepaired = await system.operator.members()
+        expect(unrepaired.repaired).toBe(false)
+        await system.operator.replace(lost?.id ?? '', victim)
+        await waitFor(
+          'repaired',
+          async () => (await system.operator.members()).repaired || undefined,
+        )
+        await leader.process().kill()
+        const rules = await system.operator.rules()
+        expect(rules.text).toContain('team.team-1 ')
+        await system.operator.apply(support.rulesWith(TEAM(2)))
+        const lostId = lost?.id ?? ''
+        expect((await system.operator.members()).members.map((m) => m.id)).not.toContain(lostId)
+      })
+      support.expectKept(result, 'revisionAccepted', 'processExited')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+})
--- /dev/null
+++ b/packages/stand-ins/__tests__/faults/workers.spec.ts
@@ -0,0 +1,126 @@
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+import * as support from './support.js'
+
+const { describe, expect, test } = vitest
+const { sleep } = standIns.waiting
+
+/** Longer than a worker's lease with drift and margin. */
+const BEYOND_LEASE_MS = 14_000
+
+const submitLong = (system: support.System, tasks = 3) =>
+  system.operator.submit({
+    job: 'fitting-long',
+    tasks,
+    command: 'run=20000',
+    declaredRunMs: 20_000,
+  })
+
+describe('faults of workers', () => {
+  interface Case {
+    readonly name: string
+    readonly flags?: standIns.systemProcess.StandInFlags
+    readonly fault: (worker: standIns.systemProcess.StandIn) => Promise<void>
+    readonly expected: support.Rules
+  }
+  const freeze: Case['fault'] = async (worker) => {
+    worker.process().signal('SIGSTOP')
+    await sleep(BEYOND_LEASE_MS)
+    worker.process().signal('SIGCONT')
+  }
+  const cases: readonly Case[] = [
+    {
+      name: 'a killed worker: its tasks run elsewhere, from the next attempt',
+      fault: (worker) => worker.process().kill(),
+      expected: [],
+    },
+    {
+      name: 'a worker that is restarted at once: its tasks start again without a lease to wait for',
+      fault: async (worker) => {
+        await worker.process().kill()
+        await worker.restart()
+      },
+      expected: [],
+    },
+    {
+      name: 'a worker that freezes beyond its lease and resumes: it stops everything first',
+      fault: freeze,
+      expected: [],
+    },
+    {
+      name: 'the same freeze at a worker that ignores its lease: the audit sees both places',
+      flags: { guardsOff: 'lease' },
+      fault: freeze,
+      expected: ['task in two places'],
+    },
+  ]
+
+  // Guards against a task in two places, and against work that is lost with its worker.
+  test.each(cases)(
+    '$name',
+    async ({ flags, fault, expected }) => {
+      const result = await support.auditRun({}, async (system) => {
+        const workers = await support.startWorkers(system, flags)
+        await submitLong(system)
+        await support.waitForRunning(workers, 'fitting-long', 3)
+        const statuses = await Promise.all(workers.map(support.statusOf))
+        const victim = workers[statuses.findIndex((s) => s.running.length > 0)]
+        if (victim === undefined) throw new Error('no worker runs a task')
+        await fault(victim)
+        await support.waitForJob(system, 'fitting-long', 'completed', 90_000)
+      })
+      expect([...new Set(result.findings.map((f) => f.rule))]).toEqual(expected)
+      expect(result.counts.taskStarted).toBeGreaterThan(3)
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  // Guards against one broken worker that takes all new work and fails it.
+  test(
+    'a worker that fails everything: jobs complete elsewhere',
+    async () => {
+      const result = await support.auditRun({}, async (system) => {
+        await support.startWorkers(system)
+        await system.startWorkers('worker-broken', {
+          failureDomain: 'rennes',
+          cpuMillis: 64_000,
+          failsEverything: true,
+        })
+        for (let i = 0; i < 6; i++) {
+          await system.operator.submit({ job: `fitting-${i}`, tasks: 2, command: 'run=300' })
+        }
+        for (let i = 0; i < 6; i++) await support.waitForJob(system, `fitting-${i}`, 'completed')
+        const { workers } = await system.operator.status()
+        expect(workers.find((w) => w.worker === 'worker-broken')?.state).toBe('quarantined')
+      })
+      support.expectKept(result, 'taskStarted', 'taskStopped')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  // Guards against a ledger that follows reports of use instead of declared sizes, or a new leader's empty one.
+  test(
+    'more work than capacity, wrong sizes and a change of leader: nothing is committed twice',
+    async () => {
+      const result = await support.auditRun({}, async (system) => {
+        const workers = await support.startWorkers(system, {
+          cpuMillis: 4000,
+          sizeFactor: 3,
+          usageNoise: 0.5,
+          usageLagMs: 500,
+        })
+        await system.operator.submit({ job: 'fitting-many', tasks: 40, command: 'run=800' })
+        await system.operator.submit({
+          job: 'never',
+          resources: { cpuMillis: 900_000, memoryMb: 1, accelerators: 0 },
+        })
+        await support.waitForRunning(workers, 'fitting-many', 6)
+        await (await system.leader()).process().kill()
+        await support.waitForJob(system, 'fitting-many', 'completed', 90_000)
+        expect((await system.operator.job('never')).reason).not.toBe('')
+      })
+      support.expectKept(result, 'taskStarted', 'taskStopped', 'processSignalled')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+})
--- a/packages/stand-ins/src/bin/fakeWorker.ts
+++ b/packages/stand-ins/src/bin/fakeWorker.ts
@@ -58,6 +58,7 @@
     recorder,
     dispatcher,
     tickMs: flags.number('tickMs', 50),
+    syncTimeoutMs: flags.number('syncTimeoutMs', 1500),
     runMs: flags.number('runMs', 2000),
     failsEverything: flags.has('failsEverything'),
     sizeFactor: flags.number('sizeFactor', 1),
