--- a/packages/control-state/src/assignments.ts
+++ b/packages/control-state/src/assignments.ts
@@ -4,7 +4,9 @@
 import * as limits from './limits.js'
 import type * as outcome from './outcome.js'
 import * as placement from './placement.js'
+import * as places from './places.js'
 import * as records from './records.js'
+import * as serviceTasks from './serviceTasks.js'
 import * as taskId from './taskId.js'
 import type * as types from './types.js'
 
@@ -128,7 +130,9 @@
   if (service !== undefined) {
     service.tasks.set(task.number, task)
     service.serving += 1
+    serviceTasks.refreshLacking(tables, service)
   }
+  places.countPlace(tables, task, worker, 1)
 }
 
 const assignOne = (
--- a/packages/control-state/src/jobs.ts
+++ b/packages/control-state/src/jobs.ts
@@ -67,6 +67,7 @@
   nextFresh: 0,
   waiting: new Set(),
   endedAtMs: 0,
+  placedIn: new Map(),
 })
 
 export const submitJob = (
--- a/packages/control-state/src/records.ts
+++ b/packages/control-state/src/records.ts
@@ -7,8 +7,9 @@
 
 export type TaskRecord = Mutable<types.TaskView>
 
-export interface JobRecord extends Mutable<Omit<types.JobView, 'waiting'>> {
+export interface JobRecord extends Mutable<Omit<types.JobView, 'waiting' | 'placedIn'>> {
   readonly waiting: Set<number>
+  readonly placedIn: Map<string, number>
   readonly digest: string
 }
 
@@ -17,8 +18,9 @@
   failedJobs: string[]
 }
 
-export interface ServiceRecord extends Mutable<Omit<types.ServiceView, 'tasks'>> {
+export interface ServiceRecord extends Mutable<Omit<types.ServiceView, 'tasks' | 'placedIn'>> {
   readonly tasks: Map<number, TaskRecord>
+  readonly placedIn: Map<string, number>
 }
 
 export interface ClaimRecord extends Mutable<types.ClaimView> {
@@ -71,9 +73,14 @@
   /** Batch tasks that were assigned once and have not ended. */
   readonly tasks: Map<string, TaskRecord>
   readonly services: Map<string, ServiceRecord>
+  /** Services with fewer runners than their rule asks for. */
+  readonly lacking: Set<ServiceRecord>
   readonly workers: Map<string, WorkerRecord>
   readonly workersByFailureDomain: Map<string, Set<string>>
   readonly capacity: capacityIndex.CapacityIndex
+  readonly capacityClasses: Map<string, Mutable<types.CapacityClass>>
+  /** Grows when a capacity class appears or disappears. */
+  classesVersion: number
   /** Assigned tasks that have to stop: job ended, or no runner slot left. */
   readonly stopping: Set<TaskRecord>
   readonly claims: Map<string, ClaimRecord>
@@ -130,9 +137,12 @@
   teams: new Map(),
   tasks: new Map(),
   services: new Map(),
+  lacking: new Set(),
   workers: new Map(),
   workersByFailureDomain: new Map(),
   capacity: capacityIndex.createCapacityIndex(),
+  capacityClasses: new Map(),
+  classesVersion: 0,
   stopping: new Set(),
   claims: new Map(),
   settledClaims: new Set(),
@@ -149,7 +159,13 @@
 export const serviceOf = (tables: Tables, service: string): ServiceRecord => {
   const known = tables.services.get(service)
   if (known !== undefined) return known
-  const created: ServiceRecord = { service, rule: undefined, tasks: new Map(), serving: 0 }
+  const created: ServiceRecord = {
+    service,
+    rule: undefined,
+    tasks: new Map(),
+    serving: 0,
+    placedIn: new Map(),
+  }
   tables.services.set(service, created)
   return created
 }
--- a/packages/control-state/src/serviceTasks.ts
+++ b/packages/control-state/src/serviceTasks.ts
@@ -14,6 +14,12 @@
 const surplusOf = (serving: readonly records.TaskRecord[], runners: number) =>
   [...serving].sort((a, b) => b.number - a.number).slice(0, Math.max(0, serving.length - runners))
 
+/** Keeps the set of services with too few runners. */
+export const refreshLacking = (tables: records.Tables, service: records.ServiceRecord): void => {
+  if (service.serving < (service.rule?.runners ?? 0)) tables.lacking.add(service)
+  else tables.lacking.delete(service)
+}
+
 /** Recounts one service after its rule, one of its tasks or a failure domain changed. */
 export const refreshService = (tables: records.Tables, service: records.ServiceRecord): void => {
   const assigned = [...service.tasks.values()].filter((task) => task.worker !== '')
@@ -23,6 +29,7 @@
   const surplus = service.rule === undefined ? assigned : surplusOf(serving, runners)
   for (const task of surplus) tables.stopping.add(task)
   service.serving = serving.length - surplus.filter((task) => serving.includes(task)).length
+  refreshLacking(tables, service)
 }
 
 /** Brings every service in line with the rules in force. */
@@ -42,5 +49,6 @@
   for (const service of tables.services.values()) {
     service.rule = services.get(service.service)
     service.serving = [...service.tasks.values()].filter((task) => isCounted(tables, task)).length
+    refreshLacking(tables, service)
   }
 }
--- a/packages/control-state/src/snapshot.ts
+++ b/packages/control-state/src/snapshot.ts
@@ -1,6 +1,7 @@
 /** Snapshots of the control state as JSON with a format name and version. */
 import * as result from 'ts-results-es'
 import * as jobs from './jobs.js'
+import * as places from './places.js'
 import * as records from './records.js'
 import * as serviceTasks from './serviceTasks.js'
 import * as taskEnds from './taskEnds.js'
@@ -9,7 +10,9 @@
 const FORMAT = 'ebonyweir-control-state'
 const FORMAT_VERSION = 1
 
-type StoredJob = Omit<records.JobRecord, 'waiting'> & { readonly waiting: readonly number[] }
+type StoredJob = Omit<records.JobRecord, 'waiting' | 'placedIn'> & {
+  readonly waiting: readonly number[]
+}
 type StoredWorker = Omit<records.WorkerRecord, 'tasks'>
 
 interface Snapshot {
@@ -51,6 +54,11 @@
   return stored as StoredWorker
 }
 
+const storeJob = (job: records.JobRecord): StoredJob => {
+  const stored = { ...job, waiting: [...job.waiting], placedIn: undefined }
+  return stored
+}
+
 export const takeSnapshot = (tables: records.Tables): Uint8Array => {
   const { rules } = tables
   const snapshot: Snapshot = {
@@ -66,7 +74,7 @@
     ruleRecords: [...rules.records],
     removedRules: [...rules.removed],
     ruleHistory: [...rules.history],
-    jobs: [...tables.jobs.values()].map((job) => ({ ...job, waiting: [...job.waiting] })),
+    jobs: [...tables.jobs.values()].map(storeJob),
     endedJobs: [...tables.endedJobs],
     retiredJobs: [...tables.retiredJobs],
     workers: [...tables.workers.values()].map(storeWorker),
@@ -128,12 +136,17 @@
     const domain = tables.workersByFailureDomain.get(worker.failureDomain) ?? new Set<string>()
     tables.workersByFailureDomain.set(worker.failureDomain, domain.add(worker.worker))
     tables.capacity.update(worker)
+    places.addToClass(tables, worker)
   }
 }
 
 const restoreJobs = (tables: records.Tables, snapshot: Snapshot): void => {
   for (const stored of snapshot.jobs) {
-    const job: records.JobRecord = { ...stored, waiting: new Set(stored.waiting) }
+    const job: records.JobRecord = {
+      ...stored,
+      waiting: new Set(stored.waiting),
+      placedIn: new Map(),
+    }
     tables.jobs.set(job.job, job)
   }
   for (const name of [...snapshot.urgentOrder, ...snapshot.normalOrder]) {
@@ -145,7 +158,10 @@
 }
 
 const linkToWorker = (tables: records.Tables, task: records.TaskRecord): void => {
-  if (task.worker !== '') tables.workers.get(task.worker)?.tasks.set(task.task, task)
+  const worker = tables.workers.get(task.worker)
+  if (worker === undefined) return
+  worker.tasks.set(task.task, task)
+  places.countPlace(tables, task, worker, 1)
 }
 
 const restoreTasks = (tables: records.Tables, snapshot: Snapshot): void => {
--- a/packages/control-state/src/taskEnds.ts
+++ b/packages/control-state/src/taskEnds.ts
@@ -3,6 +3,7 @@
 import * as jobs from './jobs.js'
 import * as limits from './limits.js'
 import type * as outcome from './outcome.js'
+import * as places from './places.js'
 import * as records from './records.js'
 import * as serviceTasks from './serviceTasks.js'
 import * as taskId from './taskId.js'
@@ -48,6 +49,7 @@
   const worker = tables.workers.get(task.worker)
   if (worker !== undefined) {
     worker.tasks.delete(task.task)
+    places.countPlace(tables, task, worker, -1)
     worker.free = records.addResources(worker.free, task.resources)
     tables.capacity.update(worker)
   }
@@ -94,7 +96,10 @@
   const wasCounted = task.kind === 'service' && serviceTasks.isCounted(tables, task)
   release(tables, task)
   if (task.kind === 'batch') settleBatch(tables, task, ended)
-  else if (wasCounted) records.serviceOf(tables, task.owner).serving -= 1
+  if (!wasCounted) return
+  const service = records.serviceOf(tables, task.owner)
+  service.serving -= 1
+  serviceTasks.refreshLacking(tables, service)
 }
 
 const endOne = (
--- a/packages/control-state/src/types.ts
+++ b/packages/control-state/src/types.ts
@@ -95,6 +95,8 @@
   /** Numbers below `nextFresh` that wait for their next attempt. */
   readonly waiting: ReadonlySet<number>
   readonly endedAtMs: number
+  /** Assigned tasks by place; see `placeKeys`. */
+  readonly placedIn: ReadonlyMap<string, number>
 }
 
 export interface TaskView {
@@ -142,6 +144,15 @@
   readonly tasks: ReadonlyMap<number, TaskView>
   /** Assigned runners on workers whose failure domain is in. */
   readonly serving: number
+  /** Assigned runners by place; see `placeKeys`. */
+  readonly placedIn: ReadonlyMap<string, number>
+}
+
+/** Workers of equal capacity in one failure domain. */
+export interface CapacityClass {
+  readonly failureDomain: string
+  readonly capacity: Resources
+  readonly workers: number
 }
 
 export interface ConfigChanges {
--- a/packages/control-state/src/view.ts
+++ b/packages/control-state/src/view.ts
@@ -32,11 +32,16 @@
   readonly isOut: (failureDomain: string) => boolean
   readonly service: (service: string) => types.ServiceView | undefined
   readonly services: () => Iterable<types.ServiceView>
+  /** Services with fewer runners than their rule asks for. */
+  readonly lackingServices: () => ReadonlySet<types.ServiceView>
   readonly teams: () => ReadonlyMap<string, TeamView>
   /** Assigned tasks that have to stop: job ended, or more runners than the rule asks for. */
   readonly stopping: () => ReadonlySet<types.TaskView>
   /** Workers by free capacity. */
   readonly capacityCells: () => Iterable<capacityIndex.CapacityCell>
+  readonly capacityClasses: () => Iterable<types.CapacityClass>
+  /** Grows when a capacity class appears or disappears. */
+  readonly classesVersion: () => number
   readonly claim: (service: string, caller: string, key: string) => types.ClaimView | undefined
   /** Claims that are not settled, with their key parts. */
   readonly openClaims: () => Iterable<OpenClaim>
@@ -85,9 +90,12 @@
   isOut: (domain) => records.isOut(current(), domain),
   service: (service) => current().services.get(service),
   services: () => current().services.values(),
+  lackingServices: () => current().lacking,
   teams: () => current().teams,
   stopping: () => current().stopping,
   capacityCells: () => current().capacity.cells(),
+  capacityClasses: () => current().capacityClasses.values(),
+  classesVersion: () => current().classesVersion,
   claim: (service, caller, key) => current().claims.get(claims.claimKey(service, caller, key)),
   openClaims: () => openClaims(current()),
 })
--- a/packages/control-state/src/workers.ts
+++ b/packages/control-state/src/workers.ts
@@ -1,6 +1,7 @@
 /** Registration of workers. A newer incarnation proves that the attempts of the older one stopped. */
 import * as protocol from '@ebonyweir/protocol'
 import type * as outcome from './outcome.js'
+import * as places from './places.js'
 import * as records from './records.js'
 import * as serviceTasks from './serviceTasks.js'
 import * as taskEnds from './taskEnds.js'
@@ -27,7 +28,7 @@
   register: protocol.command.RegisterWorker,
   capacity: types.Resources,
 ): records.WorkerRecord => {
-  const worker: records.WorkerRecord = {
+  const created: records.WorkerRecord = {
     worker: register.worker,
     incarnation: register.incarnation,
     rack: register.rack,
@@ -39,15 +40,17 @@
     failureStreak: 0,
     lastFailureMs: 0,
   }
-  tables.workers.set(worker.worker, worker)
-  return worker
+  tables.workers.set(created.worker, created)
+  places.addToClass(tables, created)
+  return created
 }
 
 const endOldAttempts = (
   tables: records.Tables,
   worker: records.WorkerRecord,
 ): outcome.TaskRef[] => {
-  const tasks = [...worker.tasks.values()]
+  // Sorted, since a replica that was restored from a snapshot holds the tasks in another order.
+  const tasks = [...worker.tasks.values()].sort((a, b) => (a.task < b.task ? -1 : 1))
   const lost = tasks.map(({ task, attempt }) => ({ task, attempt }))
   for (const task of tasks) taskEnds.endAttempt(tables, task, protocol.command.TaskOutcome.LOST, '')
   return lost
@@ -59,12 +62,17 @@
   register: protocol.command.RegisterWorker,
   capacity: types.Resources,
 ): void => {
+  const tasks = [...worker.tasks.values()]
+  for (const task of tasks) places.countPlace(tables, task, worker, -1)
+  places.removeFromClass(tables, worker)
   worker.free = records.subtractResources(capacity, usedBy(worker))
   worker.capacity = capacity
   worker.rack = register.rack
   worker.incarnation = register.incarnation
   const moved = worker.failureDomain !== register.failureDomain
   moveFailureDomain(tables, worker, register.failureDomain)
+  places.addToClass(tables, worker)
+  for (const task of tasks) places.countPlace(tables, task, worker, 1)
   tables.capacity.remove(worker.worker)
   tables.capacity.update(worker)
   if (moved) serviceTasks.refreshServices(tables)
@@ -78,6 +86,7 @@
   names?.delete(name)
   if (names?.size === 0) tables.workersByFailureDomain.delete(worker.failureDomain)
   tables.capacity.remove(name)
+  places.removeFromClass(tables, worker)
   tables.workers.delete(name)
   return { kind: 'workerRemoved' }
 }
