feat(scheduling): scored placement, urgency, quotas, interference, guards, drain order and quarantine

Cause: first-fit ignores racks, urgency, lagging measurements and leaving failure domains.

Change: decide places runners, then urgent tasks, then teams by weighted share on a bounded sample of workers; learns interference per pair and load bucket; throttles and evicts beside guarded services; drains leaving domains; makes room by evictions that lose least; quarantines workers that fail everything; reports what can never run with its rule.

Measured: vitest run packages/scheduling: 15 passed, 0 failed.

--- /dev/null
+++ b/packages/scheduling/src/drain.ts
@@ -0,0 +1,110 @@
+/** Moves work out of failure domains that operators took out, and off overcommitted workers. */
+import type * as controlState from '@ebonyweir/control-state'
+import type * as options from './options.js'
+import type * as softState from './softState.js'
+import type * as types from './types.js'
+import * as victims from './victims.js'
+
+/** Longest time for which a runner waits for its replacement, in milliseconds. */
+const MAX_REPLACEMENT_WAIT_MS = 60_000
+
+export interface Drain {
+  readonly run: (view: controlState.ControlView, nowMs: number) => void
+  readonly relieve: (view: controlState.ControlView, worker: controlState.WorkerView) => void
+}
+
+export const createDrain = (parts: options.PolicyParts, soft: softState.SoftState): Drain => {
+  /** Workers of a leaving domain that may still hold tasks. */
+  const leaving = new Map<string, Set<string>>()
+
+  const evict = (
+    { task, attempt, worker }: controlState.TaskView,
+    reason: types.StopReason,
+    rule: controlState.RuleSource | undefined,
+  ): void => {
+    if (!soft.evictions.has(task)) soft.evictions.set(task, { task, attempt, worker, reason, rule })
+  }
+
+  /** Runners that a worker reports as running and that take part in serving. */
+  const readyRunners = (
+    view: controlState.ControlView,
+    service: controlState.ServiceView,
+  ): number => {
+    let ready = 0
+    for (const task of service.tasks.values()) {
+      if (task.worker === '') continue
+      const domain = view.worker(task.worker)?.failureDomain ?? ''
+      const running = soft.workers.get(task.worker)?.running.get(task.task)
+      if (!view.isOut(domain) && running?.attempt === task.attempt) ready += 1
+    }
+    return ready
+  }
+
+  const moveRunner = (
+    view: controlState.ControlView,
+    task: controlState.TaskView,
+    readyCounts: Map<string, number>,
+    isOverdue: boolean,
+  ): void => {
+    const service = view.service(task.owner)
+    if (service === undefined || soft.moves.has(task.task)) return
+    const ready = readyCounts.get(task.owner) ?? readyRunners(view, service)
+    readyCounts.set(task.owner, ready)
+    // Each ready replacement releases one runner; without one the runner keeps serving.
+    const spare = ready + runnersIn(view, service) - (service.rule?.runners ?? 0)
+    if (parts.drainOrder && !isOverdue && spare <= 0) return
+    const { task: id, attempt, worker } = task
+    soft.moves.set(id, { task: id, attempt, worker, reason: 'moved' })
+  }
+
+  /** Runners in domains that leave and that are not asked to stop yet. */
+  const runnersIn = (view: controlState.ControlView, service: controlState.ServiceView): number => {
+    let count = 0
+    for (const task of service.tasks.values()) {
+      if (task.worker === '' || soft.moves.has(task.task)) continue
+      if (view.isOut(view.worker(task.worker)?.failureDomain ?? '')) count += 1
+    }
+    return count
+  }
+
+  const drainWorker = (
+    view: controlState.ControlView,
+    worker: controlState.WorkerView,
+    readyCounts: Map<string, number>,
+    isOverdue: boolean,
+  ): void => {
+    const rule = view.rules().failureDomains.get(worker.failureDomain)
+    for (const task of worker.tasks.values()) {
+      if (view.stopping().has(task)) continue
+      if (task.kind === 'service') moveRunner(view, task, readyCounts, isOverdue)
+      else evict(task, 'moved', rule)
+    }
+  }
+
+  const run: Drain['run'] = (view, nowMs) => {
+    const readyCounts = new Map<string, number>()
+    for (const domain of leaving.keys()) if (!soft.outSinceMs.has(domain)) leaving.delete(domain)
+    for (const [domain, sinceMs] of soft.outSinceMs) {
+      const workers = leaving.get(domain) ?? new Set(view.workersIn(domain))
+      leaving.set(domain, workers)
+      const isOverdue = nowMs - sinceMs > MAX_REPLACEMENT_WAIT_MS
+      for (const name of workers) {
+        const worker = view.worker(name)
+        if (worker === undefined || worker.tasks.size === 0) workers.delete(name)
+        else drainWorker(view, worker, readyCounts, isOverdue)
+      }
+    }
+  }
+
+  /** Evicts until the committed sum fits a capacity that shrank. */
+  const relieve: Drain['relieve'] = (view, worker) => {
+    const { cpuMillis, memoryMb, accelerators } = worker.free
+    if (Math.min(cpuMillis, memoryMb, accelerators) >= 0) return
+    const batch = [...worker.tasks.values()].filter((task) => task.kind === 'batch')
+    const waitsForEnd = batch.some((task) => soft.evictions.has(task.task))
+    const victim = victims.sortVictims(view, batch, parts.victim)[0]
+    if (!waitsForEnd && victim !== undefined) evict(victim, 'overcommitted', undefined)
+  }
+
+  return { run, relieve }
+}
--- /dev/null
+++ b/packages/scheduling/src/plan.ts
@@ -0,0 +1,125 @@
+/** Assignments of one decision, with what they take from workers, quotas and places. */
+import * as controlState from '@ebonyweir/control-state'
+import type * as protocol from '@ebonyweir/protocol'
+import * as quarantine from './quarantine.js'
+import * as refill from './refill.js'
+import type * as options from './options.js'
+import * as softState from './softState.js'
+import type * as waiting from './waiting.js'
+
+export interface Plan {
+  readonly view: controlState.ControlView
+  readonly soft: softState.SoftState
+  readonly parts: options.PolicyParts
+  readonly nowMs: number
+  readonly assignments: readonly protocol.command.Assignment[]
+  readonly freeOf: (worker: controlState.WorkerView) => controlState.Resources
+  /** Whether anything new may be placed on the worker now. */
+  readonly isOpen: (worker: controlState.WorkerView, task: waiting.WaitingTask) => boolean
+  readonly canPlace: (worker: controlState.WorkerView, task: waiting.WaitingTask) => boolean
+  /** Tasks of the owner at a place key, with those of this decision. */
+  readonly countAt: (task: waiting.WaitingTask, key: string) => number
+  readonly teamUse: (team: string) => controlState.Resources
+  readonly assign: (worker: controlState.WorkerView, task: waiting.WaitingTask) => void
+}
+
+export interface PlanOptions {
+  readonly view: controlState.ControlView
+  readonly soft: softState.SoftState
+  readonly parts: options.PolicyParts
+  readonly nowMs: number
+}
+
+const isAllowed = (
+  view: controlState.ControlView,
+  worker: controlState.WorkerView,
+  task: waiting.WaitingTask,
+): boolean => {
+  if (view.isOut(worker.failureDomain)) return false
+  const { names } = task
+  return !controlState.placement.placementRefusal(view.rules(), names, worker.failureDomain)
+}
+
+export const createPlan = ({ view, soft, parts, nowMs }: PlanOptions): Plan => {
+  const assignments: protocol.command.Assignment[] = []
+  const taken = new Map<string, controlState.Resources>()
+  const teams = new Map<string, controlState.Resources>()
+  const counts = new Map<string, number>()
+
+  const freeOf: Plan['freeOf'] = (worker) => {
+    const used = taken.get(worker.worker)
+    return used === undefined ? worker.free : controlState.subtractResources(worker.free, used)
+  }
+
+  const isOpen: Plan['isOpen'] = (worker, task) => {
+    const memory = soft.workers.get(worker.worker)
+    if (memory?.report.incarnation !== worker.incarnation) return false
+    if (nowMs - memory.lastSyncMs > softState.FRESH_SYNC_MS) return false
+    if (task.failedOn === worker.worker && view.workerCount() > 1) return false
+    const reservation = soft.reservations.get(worker.worker)
+    if (reservation !== undefined && reservation.subject !== task.subject) return false
+    if (parts.quarantine && !quarantine.mayTry(worker, memory, taken.has(worker.worker), nowMs))
+      return false
+    return isAllowed(view, worker, task)
+  }
+
+  const canPlace: Plan['canPlace'] = (worker, task) =>
+    controlState.fits(task.resources, freeOf(worker)) &&
+    isOpen(worker, task) &&
+    (!parts.refill || refill.hasRoom(worker, freeOf(worker), task, soft, nowMs))
+
+  const countAt: Plan['countAt'] = (task, key) => {
+    const placedIn = (task.job ?? task.service)?.placedIn
+    return (placedIn?.get(key) ?? 0) + (counts.get(`${task.subject} ${key}`) ?? 0)
+  }
+
+  const teamUse: Plan['teamUse'] = (team) => {
+    const used = view.teams().get(team)?.used ?? controlState.NO_RESOURCES
+    return controlState.addResources(used, teams.get(team) ?? controlState.NO_RESOURCES)
+  }
+
+  const addTo = (
+    map: Map<string, controlState.Resources>,
+    key: string,
+    resources: controlState.Resources,
+  ): void => {
+    map.set(key, controlState.addResources(map.get(key) ?? controlState.NO_RESOURCES, resources))
+  }
+
+  const assign: Plan['assign'] = (worker, task) => {
+    assignments.push({
+      task: task.task,
+      attempt: task.attempt,
+      worker: worker.worker,
+      workerIncarnation: worker.incarnation,
+    })
+    addTo(taken, worker.worker, task.resources)
+    if (task.job !== undefined) addTo(teams, task.job.team, task.resources)
+    for (const key of Object.values(controlState.placeKeys(worker)) as string[])
+      counts.set(`${task.subject} ${key}`, (counts.get(`${task.subject} ${key}`) ?? 0) + 1)
+    const profile = soft.workers.get(worker.worker)?.profile
+    const share = task.resources.cpuMillis / Math.max(1, worker.capacity.cpuMillis)
+    if (profile !== undefined && task.job !== undefined)
+      softState.addToProfile(profile, task.job.kind, share)
+    if (profile !== undefined && task.service !== undefined)
+      profile.loads.set(
+        task.service.service,
+        profile.loads.get(task.service.service) ?? softState.UNKNOWN_LOAD,
+      )
+    soft.reservations.delete(worker.worker)
+  }
+
+  return {
+    view,
+    soft,
+    parts,
+    nowMs,
+    assignments,
+    freeOf,
+    isOpen,
+    canPlace,
+    countAt,
+    teamUse,
+    assign,
+  }
+}
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,16 +1,25 @@
 /** Placement, urgency, quotas, interference, throttling, eviction and drain order of a cell. */
 import type * as controlState from '@ebonyweir/control-state'
-import * as firstFit from './firstFit.js'
+import * as drains from './drain.js'
+import * as guards from './guard.js'
+import * as interference from './interference.js'
+import * as learning from './learning.js'
+import * as options from './options.js'
+import * as placement from './placement.js'
+import * as placers from './placers.js'
+import * as plans from './plan.js'
+import * as preemption from './preemption.js'
+import * as refill from './refill.js'
+import * as softState from './softState.js'
 import type * as types from './types.js'
-
-export interface SchedulerOptions {
-  readonly random: types.Random
-  /** Most assignments per decision. @default 200 */
-  readonly maxAssignments?: number
-}
+import * as unplaced from './unplaced.js'
+import * as waiting from './waiting.js'
 
 export interface Scheduler {
-  /** Decides from the durable state and the leader's soft state. Keeps soft state of its own. */
+  /**
+   * Decides from the durable state and the leader's soft state. Keeps soft state of its own.
+   * `nowMs` is the clock of the reports' `receivedAtMs`; it need not be the clock of the log.
+   */
   readonly decide: (
     view: controlState.ControlView,
     signals: types.Signals,
@@ -18,22 +27,78 @@
   ) => types.Decision
 }
 
-export const createScheduler = (options: SchedulerOptions): Scheduler => {
-  const { maxAssignments = 200 } = options
+const stopsOf = (view: controlState.ControlView, soft: softState.SoftState): types.Stop[] => {
+  const stops: types.Stop[] = []
+  for (const { task, attempt, worker, kind } of view.stopping()) {
+    const reason = kind === 'batch' ? 'job ended' : 'surplus runner'
+    stops.push({ task, attempt, worker, reason })
+  }
+  return [...stops, ...soft.moves.values()]
+}
+
+/** Attempts in a failure domain that is out and that no report shows as running. */
+const withheldOf = (view: controlState.ControlView, soft: softState.SoftState): types.TaskRef[] => {
+  const refs: types.TaskRef[] = []
+  for (const ref of [...soft.evictions.values(), ...soft.moves.values()]) {
+    const { task, attempt, worker } = ref
+    if (!view.isOut(view.worker(worker)?.failureDomain ?? '')) continue
+    if (soft.workers.get(worker)?.running.get(task)?.attempt === attempt) continue
+    refs.push({ task, attempt, worker })
+  }
+  return refs
+}
+
+export const createScheduler = (schedulerOptions: options.SchedulerOptions): Scheduler => {
+  const resolved = options.resolveSchedulerOptions(schedulerOptions)
+  const { parts } = resolved
+  const soft = softState.createSoftState()
+  const model = interference.createInterference()
+  const guard = guards.createGuard(parts, soft, model)
+  const drain = drains.createDrain(parts, soft)
+  const cursors = new Map<string, waiting.QueueCursor>()
+  const tools: placement.PlacementTools = {
+    resolved,
+    placer: placers.createPlacer(resolved, model),
+    reports: unplaced.createUnplacedReports(),
+    rooms: preemption.createPreemption(resolved),
+    cursorOf: (queue) => {
+      const cursor = cursors.get(queue) ?? waiting.createQueueCursor()
+      cursors.set(queue, cursor)
+      return cursor
+    },
+  }
+
+  const takeReport = (
+    view: controlState.ControlView,
+    report: types.WorkerReport,
+    nowMs: number,
+  ): void => {
+    const before = soft.workers.get(report.worker)
+    if (before !== undefined) learning.learnProgress(view, before, report, model)
+    const memory = softState.noteReport(soft, view, report)
+    const worker = view.worker(report.worker)
+    if (memory === undefined || worker === undefined) return
+    learning.learnServices(memory, report, model)
+    drain.relieve(view, worker)
+    if (parts.guard) guard.review(view, worker, memory, nowMs)
+  }
 
-  const decide: Scheduler['decide'] = (view, signals) => ({
-    assignments: signals.assigning ? [] : firstFit.placeFirstFit(view, maxAssignments),
-    stops: [...view.stopping()].map(({ task, attempt, worker, kind }) => ({
-      task,
-      attempt,
-      worker,
-      reason: kind === 'batch' ? 'job ended' : 'surplus runner',
-    })),
-    evictions: [],
-    throttles: [],
-    withheld: [],
-    unplaced: [],
-  })
+  const decide: Scheduler['decide'] = (view, signals, nowMs) => {
+    refill.noteDomains(view, soft, nowMs)
+    softState.pruneSoftState(soft, view, nowMs)
+    for (const report of signals.reports) takeReport(view, report, nowMs)
+    drain.run(view, nowMs)
+    const plan = plans.createPlan({ view, soft, parts, nowMs })
+    if (!signals.assigning) placement.runPlacement(plan, tools)
+    return {
+      assignments: plan.assignments,
+      stops: stopsOf(view, soft),
+      evictions: [...soft.evictions.values()],
+      throttles: [...soft.throttles.values()],
+      withheld: withheldOf(view, soft),
+      unplaced: tools.reports.list(view),
+    }
+  }
 
   return { decide }
 }
--- /dev/null
+++ b/packages/scheduling/src/unplaced.ts
@@ -0,0 +1,111 @@
+/** Reports on work that cannot be placed, with the rule that causes it and since when. */
+import * as controlState from '@ebonyweir/control-state'
+import type * as plans from './plan.js'
+import type * as types from './types.js'
+import type * as waiting from './waiting.js'
+
+/** Reports that are kept; the oldest are dropped first. */
+const MAX_REPORTS = 1_000
+
+interface Finding {
+  readonly reason: types.UnplacedReason
+  readonly never: boolean
+  readonly rule: controlState.RuleSource | undefined
+}
+
+export interface UnplacedReports {
+  /** True if the job can never run under the rules and workers known now. */
+  readonly isHopeless: (plan: plans.Plan, task: waiting.WaitingTask) => boolean
+  /** Since when the subject waits. */
+  readonly note: (plan: plans.Plan, task: waiting.WaitingTask, reason?: Finding) => number
+  readonly placed: (subject: string) => void
+  /** Drops reports of subjects that no longer wait. */
+  readonly list: (view: controlState.ControlView) => readonly types.Unplaced[]
+}
+
+const WAITS: Finding = { reason: 'waits for capacity', never: false, rule: undefined }
+
+const quotaFinding = (plan: plans.Plan, job: controlState.JobView): Finding | undefined => {
+  const { teams } = plan.view.rules()
+  const rule = teams.get(job.team)
+  if (teams.size === 0) return undefined
+  if (rule === undefined) return { reason: 'team has no rule', never: true, rule }
+  if (controlState.fits(job.resources, rule.quota)) return undefined
+  return { reason: 'team quota is too small for one task', never: true, rule }
+}
+
+const capacityFinding = (plan: plans.Plan, task: waiting.WaitingTask): Finding | undefined => {
+  const set = plan.view.rules()
+  const classes = [...plan.view.capacityClasses()].filter(({ workers }) => workers > 0)
+  const large = classes.filter(({ capacity }) => controlState.fits(task.resources, capacity))
+  if (classes.length === 0) return undefined
+  if (large.length === 0)
+    return { reason: 'larger than every worker', never: true, rule: task.service?.rule }
+  const refusals = large.map(({ failureDomain }) =>
+    controlState.placement.placementRefusal(set, task.names, failureDomain),
+  )
+  if (refusals.some((rule) => rule === undefined)) return undefined
+  return { reason: 'placement rule leaves no worker', never: true, rule: refusals[0] }
+}
+
+/** Why the task can never run, if that is so. */
+export const findNever = (plan: plans.Plan, task: waiting.WaitingTask): Finding | undefined =>
+  (task.job === undefined ? undefined : quotaFinding(plan, task.job)) ?? capacityFinding(plan, task)
+
+export const createUnplacedReports = (): UnplacedReports => {
+  const reports = new Map<string, types.Unplaced>()
+  const hopeless = new Map<string, string>()
+
+  /** What a finding depends on. */
+  const versionOf = (view: controlState.ControlView): string =>
+    `${view.revision()}/${view.classesVersion()}`
+
+  const note: UnplacedReports['note'] = (plan, task, finding = WAITS) => {
+    const { subject } = task
+    const sinceMs = reports.get(subject)?.sinceMs ?? plan.nowMs
+    reports.set(subject, { subject, ...finding, sinceMs })
+    for (const oldest of reports.keys()) {
+      if (reports.size <= MAX_REPORTS) break
+      reports.delete(oldest)
+      hopeless.delete(oldest)
+    }
+    return sinceMs
+  }
+
+  const isHopeless: UnplacedReports['isHopeless'] = (plan, task) => {
+    const version = versionOf(plan.view)
+    if (hopeless.get(task.subject) === version) return true
+    hopeless.delete(task.subject)
+    if (reports.get(task.subject)?.never === true) reports.delete(task.subject)
+    const finding = findNever(plan, task)
+    if (finding === undefined) return false
+    hopeless.set(task.subject, version)
+    note(plan, task, finding)
+    return true
+  }
+
+  const placed = (subject: string): void => {
+    reports.delete(subject)
+  }
+
+  const stillWaits = (view: controlState.ControlView, subject: string): boolean => {
+    const [first = '', second = ''] = subject.split('/')
+    if (first === 'service') {
+      const service = view.service(second)
+      return service !== undefined && view.lackingServices().has(service)
+    }
+    const job = view.job(first)
+    return job?.state === 'active' && (job.waiting.size > 0 || job.nextFresh < job.tasks)
+  }
+
+  const list: UnplacedReports['list'] = (view) => {
+    for (const subject of reports.keys()) {
+      if (stillWaits(view, subject)) continue
+      reports.delete(subject)
+      hopeless.delete(subject)
+    }
+    return [...reports.values()]
+  }
+
+  return { isHopeless, note, placed, list }
+}
--- /dev/null
+++ b/packages/scheduling/src/waiting.ts
@@ -0,0 +1,113 @@
+/** Work that waits for a worker: runners first, then urgent tasks, then teams by weighted share. */
+import * as controlState from '@ebonyweir/control-state'
+
+/** One task that waits, with what placement needs to know about its owner. */
+export interface WaitingTask {
+  readonly task: string
+  readonly attempt: number
+  /** Job, or "service/<name>". */
+  readonly subject: string
+  readonly names: controlState.placement.MatchNames
+  readonly resources: controlState.Resources
+  readonly failedOn: string
+  readonly job: controlState.JobView | undefined
+  readonly service: controlState.ServiceView | undefined
+}
+
+/** Accelerators count as 8 cores and 4 GiB of memory as one, so that quotas can be compared. */
+const MILLIS_PER_ACCELERATOR = 8_000
+const MEMORY_MB_PER_CORE = 4_096
+const MILLIS_PER_CORE = 1_000
+
+/** Size of resources in thousandths of a core. */
+export const sizeOf = (resources: controlState.Resources): number =>
+  resources.cpuMillis +
+  resources.accelerators * MILLIS_PER_ACCELERATOR +
+  (resources.memoryMb / MEMORY_MB_PER_CORE) * MILLIS_PER_CORE
+
+export function* waitingRunners(service: controlState.ServiceView): Generator<WaitingTask> {
+  const { rule } = service
+  if (rule === undefined) return
+  let missing = rule.runners - service.serving
+  for (let number = 0; missing > 0 && number < 2 * rule.runners; number += 1) {
+    const known = service.tasks.get(number)
+    if (known !== undefined && known.worker !== '') continue
+    missing -= 1
+    yield {
+      task: controlState.taskId.serviceTaskId(service.service, number),
+      attempt: known?.attempt ?? 1,
+      subject: `service/${service.service}`,
+      names: [service.service],
+      resources: rule.resources,
+      failedOn: known?.failedOn ?? '',
+      job: undefined,
+      service,
+    }
+  }
+}
+
+const batchTask = (
+  view: controlState.ControlView,
+  job: controlState.JobView,
+  number: number,
+): WaitingTask => {
+  const task = controlState.taskId.batchTaskId(job.job, number)
+  const known = view.task(task)
+  return {
+    task,
+    attempt: known?.attempt ?? 1,
+    subject: job.job,
+    names: [job.job, job.kind],
+    resources: job.resources,
+    failedOn: known?.failedOn ?? '',
+    job,
+    service: undefined,
+  }
+}
+
+/** Evicted and failed tasks first, then those that were never assigned. */
+export function* waitingTasks(
+  view: controlState.ControlView,
+  job: controlState.JobView,
+): Generator<WaitingTask> {
+  for (const number of job.waiting) yield batchTask(view, job, number)
+  for (let number = job.nextFresh; number < job.tasks; number += 1)
+    yield batchTask(view, job, number)
+}
+
+/** Jobs at the head of a queue that are tried in each decision. */
+const HEAD_JOBS = 200
+
+/** Jobs further back that are tried per decision, continuing where the last decision stopped. */
+const ROTATING_JOBS = 200
+
+export interface QueueCursor {
+  /** Jobs of the queue worth trying in this decision, none of them twice. */
+  readonly take: (queue: ReadonlySet<controlState.JobView>) => Generator<controlState.JobView>
+}
+
+/** Bounds the jobs tried per decision without letting those at the head hold up the others. */
+export const createQueueCursor = (): QueueCursor => {
+  let rest: Iterator<controlState.JobView> | undefined
+
+  function* take(queue: ReadonlySet<controlState.JobView>): Generator<controlState.JobView> {
+    const seen = new Set<controlState.JobView>()
+    for (const job of queue) {
+      if (seen.size >= HEAD_JOBS) break
+      seen.add(job)
+      yield job
+    }
+    if (queue.size <= seen.size) return
+    rest ??= queue.values()
+    for (let tried = 0; tried < ROTATING_JOBS; tried += 1) {
+      const next = rest.next()
+      if (next.done === true) {
+        rest = undefined
+        return
+      }
+      if (!seen.has(next.value)) yield next.value
+    }
+  }
+
+  return { take }
+}
