--- /dev/null
+++ b/packages/experiment/src/batch/policies.ts
@@ -0,0 +1,38 @@
+/** Policies that are compared: ours, ours with one part off, and the baselines. */
+import type * as scheduling from '@ebonyweir/scheduling'
+
+export interface Policy {
+  readonly name: string
+  readonly group: 'ours' | 'part off' | 'baseline' | 'no batch'
+  readonly parts: Partial<scheduling.PolicyParts>
+}
+
+const SIMPLE = {
+  guard: false,
+  interferencePlacement: false,
+  spread: false,
+  refill: false,
+  quarantine: false,
+  drainOrder: false,
+  preemption: false,
+} as const
+
+export const POLICIES: readonly Policy[] = [
+  { name: 'no batch', group: 'no batch', parts: {} },
+  { name: 'ours', group: 'ours', parts: {} },
+  {
+    name: 'without interference placement',
+    group: 'part off',
+    parts: { interferencePlacement: false },
+  },
+  { name: 'without spread', group: 'part off', parts: { spread: false } },
+  { name: 'without refill', group: 'part off', parts: { refill: false } },
+  { name: 'without quarantine', group: 'part off', parts: { quarantine: false } },
+  { name: 'without drain order', group: 'part off', parts: { drainOrder: false } },
+  { name: 'without preemption', group: 'part off', parts: { preemption: false } },
+  { name: 'no guard', group: 'baseline', parts: { guard: false } },
+  { name: 'evict newest', group: 'baseline', parts: { victim: 'newest' } },
+  { name: 'random', group: 'baseline', parts: { ...SIMPLE, placement: 'random' } },
+  { name: 'first fit', group: 'baseline', parts: { ...SIMPLE, placement: 'firstFit' } },
+  { name: 'round robin', group: 'baseline', parts: { ...SIMPLE, placement: 'roundRobin' } },
+]
--- /dev/null
+++ b/packages/experiment/src/batch/workload.ts
@@ -0,0 +1,80 @@
+/** Arrivals of a scenario: the same for every policy with the same seed. */
+import * as randoms from '../random.js'
+import type * as data from './data.js'
+
+export interface ArrivingJob {
+  readonly atMs: number
+  readonly job: string
+  readonly kind: data.Kind
+  readonly tasks: number
+  readonly urgent: boolean
+}
+
+/** What a task really needs, against what its job declared. */
+export interface TrueSize {
+  readonly cpuMillis: number
+  readonly memoryMb: number
+  readonly runMs: number
+}
+
+const TASKS_PER_JOB = 4
+
+const pickKind = (kinds: readonly data.Kind[], random: randoms.Random): data.Kind => {
+  const total = kinds.reduce((sum, { mix }) => sum + mix, 0)
+  let rest = random() * total
+  for (const kind of kinds) {
+    rest -= kind.mix
+    if (rest <= 0) return kind
+  }
+  return kinds[0]!
+}
+
+/** Work of a job's median tasks in core milliseconds. */
+const workOf = (kind: data.Kind): number => (kind.cpuMillis / 1000) * kind.runMs
+
+export const createArrivals = (
+  deployment: data.Deployment,
+  scenario: data.Scenario,
+  seed: number,
+): readonly ArrivingJob[] => {
+  const random = randoms.createRandom(seed, 'arrivals')
+  const { capacity, service, workers } = deployment
+  const cores = (capacity.cpuMillis * workers - service.cpuMillis * service.runners) / 1000
+  const totalWork = cores * scenario.durationMs * scenario.batchDemand
+  const jobs: ArrivingJob[] = []
+  // A third of the work waits at the start; the rest arrives evenly.
+  for (let work = 0; work < totalWork;) {
+    const kind = pickKind(deployment.kinds, random)
+    const atMs = Math.max(0, (work / totalWork - 1 / 3) * 1.5 * scenario.durationMs)
+    const job = `${kind.kind}-${jobs.length}`
+    jobs.push({ atMs, job, kind, tasks: TASKS_PER_JOB, urgent: false })
+    work += workOf(kind) * TASKS_PER_JOB
+  }
+  const urgent = (scenario.urgentPerMinute * scenario.durationMs) / 60_000
+  for (let n = 0; n < urgent; n += 1) {
+    const kind = pickKind(deployment.kinds, random)
+    const atMs = random() * scenario.durationMs
+    jobs.push({ atMs, job: `urgent-${n}`, kind, tasks: 1, urgent: true })
+  }
+  scenario.noiseWaves.forEach(([atMs, tasks], n) => {
+    jobs.push({ atMs, job: `noise-${n}`, kind: deployment.noisyKind, tasks, urgent: false })
+  })
+  return jobs.sort((a, b) => a.atMs - b.atMs)
+}
+
+/** The true size of a task: a function of seed and task, whatever the policy does. */
+export const trueSizeOf = (
+  scenario: data.Scenario,
+  kind: data.Kind,
+  task: string,
+  seed: number,
+): TrueSize => {
+  const random = randoms.createRandom(seed, `size/${task}`)
+  const between = (factor: number): number => factor ** (2 * random() - 1)
+  const size = between(scenario.wrongSizes)
+  return {
+    cpuMillis: kind.cpuMillis * size,
+    memoryMb: kind.memoryMb * 0.7 * between(scenario.wrongSizes),
+    runMs: kind.runMs * between(scenario.wrongRunTimes),
+  }
+}
