perf(scheduling): share the accepted slowdown of a service among its runners

Cause: every runner was held to the guard's limit, so the service's tail stayed far below it and batch work was throttled and evicted without need. Room for waiting work evicted more tasks than it needed.

Change: a factor per service scales the limit of one runner until the mean over runners meets the aim; a new load bucket starts from its neighbour; capacity is first kept and then freed by evictions, and unneeded victims are spared.

--- a/packages/experiment/src/batch/data.ts
+++ b/packages/experiment/src/batch/data.ts
@@ -16,6 +16,8 @@
   readonly serviceHarm: number
   /** Rise of the logarithm of another task's run time per share of the machine. */
   readonly batchHarm: number
+  /** How much of other tasks' `batchHarm` reaches a task of this kind. */
+  readonly sensitivity: number
 }
 
 export interface Deployment {
@@ -62,15 +64,16 @@
 
 const root = path.resolve(import.meta.dirname, '../..')
 
-const readAll = <T>(folder: string): readonly T[] =>
+const readAll = (folder: string): readonly unknown[] =>
   fs
     .readdirSync(path.join(root, folder))
     .filter((name) => name.endsWith('.json'))
     .sort()
-    .map((name) => JSON.parse(fs.readFileSync(path.join(root, folder, name), 'utf8')) as T)
+    .map((name) => JSON.parse(fs.readFileSync(path.join(root, folder, name), 'utf8')) as unknown)
 
-export const readDeployments = (): readonly Deployment[] => readAll('deployments')
-export const readScenarios = (): readonly Scenario[] => readAll('scenarios')
+export const readDeployments = (): readonly Deployment[] =>
+  readAll('deployments') as readonly Deployment[]
+export const readScenarios = (): readonly Scenario[] => readAll('scenarios') as readonly Scenario[]
 
 /** Load of the service at a time. */
 export const loadAt = (scenario: Scenario, nowMs: number): number => {
--- a/packages/experiment/src/batch/machine.ts
+++ b/packages/experiment/src/batch/machine.ts
@@ -134,7 +134,7 @@
     let harm = 0
     for (const other of running.values())
       if (other !== task) harm += (other.kind?.batchHarm ?? 0) * shareOf(other)
-    const rate = ((task.cpuPercent / 100) * Math.exp(-harm)) / contention()
+    const rate = ((task.cpuPercent / 100) * Math.exp(-harm * task.kind.sensitivity)) / contention()
     task.progressMs += stepMs * rate
     if (task.progressMs >= task.size.runMs) end(task, 'COMPLETED', task.size.runMs)
   }
--- a/packages/scheduling/src/guard.ts
+++ b/packages/scheduling/src/guard.ts
@@ -3,7 +3,7 @@
  * target allows, the most harmful first, and evicted when throttling to the floor is not enough.
  */
 import type * as controlState from '@ebonyweir/control-state'
-import * as budgets from './budgets.js'
+import type * as budgets from './budgets.js'
 import type * as interference from './interference.js'
 import type * as options from './options.js'
 import * as softState from './softState.js'
@@ -57,6 +57,7 @@
   parts: options.PolicyParts,
   soft: softState.SoftState,
   model: interference.Interference,
+  budget: budgets.Budgets,
 ): Guard => {
   const aggressorsOf = (
     view: controlState.ControlView,
@@ -83,7 +84,7 @@
     service: string,
     load: number,
   ): Wanted | undefined => {
-    const { limit, caution, rule } = budgets.budgetOf(view.rules(), service)
+    const { limit, caution, rule } = budget.budgetOf(view.rules(), service)
     if (rule === undefined) return undefined
     const aggressors = aggressorsOf(view, worker, memory, service, load)
     const { deviation } = model.estimate(`service/${service}`, load, memory.profile.shares)
--- a/packages/scheduling/src/interference.ts
+++ b/packages/scheduling/src/interference.ts
@@ -10,7 +10,7 @@
 const LOAD_BOUNDS = [0.35, 0.6, 0.8] as const
 
 /** Prior of a coefficient: a whole machine of an unknown kind slows a victim by about a third. */
-const PRIOR_MEAN = 0.3
+const PRIOR_MEAN = 0.15
 const PRIOR_VARIANCE = 0.5
 
 /** Prior variance of the undisturbed level, which differs widely between victims. */
@@ -22,6 +22,9 @@
 /** Variance added per sample, so that the model follows slow changes. */
 const DRIFT_VARIANCE = 0.0002
 
+/** Variance added to a coefficient that is taken from a neighbouring load bucket. */
+const BUCKET_VARIANCE = 0.05
+
 /** Weight of a pair's own kind mean against the general prior, in samples of the kind. */
 const KIND_PRIOR_SAMPLES = 20
 
@@ -98,10 +101,23 @@
     return created
   }
 
-  const coefficientOf = (victim: Victim, kind: string): Coefficient => {
+  /** What the nearest other load bucket of the victim has learned, less certain; else the kind. */
+  const nearbyOf = (name: string, load: number, kind: string): Coefficient => {
+    const bucket = loadBucketOf(load)
+    for (let distance = 1; distance <= LOAD_BOUNDS.length; distance += 1) {
+      for (const other of [bucket - distance, bucket + distance]) {
+        const known = victims.get(`${name}/${other}`)?.kinds.get(kind)
+        if (known === undefined) continue
+        return { mean: known.mean, variance: known.variance + BUCKET_VARIANCE * distance }
+      }
+    }
+    return priorOf(kind)
+  }
+
+  const coefficientOf = (victim: Victim, name: string, load: number, kind: string): Coefficient => {
     const known = victim.kinds.get(kind)
     if (known !== undefined) return known
-    const created = priorOf(kind)
+    const created = nearbyOf(name, load, kind)
     victim.kinds.set(kind, created)
     dropOldest(victim.kinds, MAX_KINDS_PER_VICTIM)
     return created
@@ -125,7 +141,7 @@
     const terms = [...shares].map(([kind, share]) => ({
       kind,
       share,
-      coefficient: coefficientOf(victim, kind),
+      coefficient: coefficientOf(victim, name, load, kind),
     }))
     const all = [{ kind: '', share: 1, coefficient: victim.level }, ...terms]
     let expected = 0
@@ -150,7 +166,7 @@
   }
 
   const coefficient: Interference['coefficient'] = (name, load, kind) => {
-    const known = victims.get(keyOf(name, load))?.kinds.get(kind) ?? priorOf(kind)
+    const known = victims.get(keyOf(name, load))?.kinds.get(kind) ?? nearbyOf(name, load, kind)
     return { mean: known.mean, deviation: Math.sqrt(known.variance) }
   }
 
@@ -159,7 +175,7 @@
     let mean = 0
     let variance = 0
     for (const [kind, share] of shares) {
-      const known = victim?.kinds.get(kind) ?? priorOf(kind)
+      const known = victim?.kinds.get(kind) ?? nearbyOf(name, load, kind)
       mean += known.mean * share
       variance += known.variance * share * share
     }
--- a/packages/scheduling/src/learning.ts
+++ b/packages/scheduling/src/learning.ts
@@ -1,5 +1,6 @@
 /** Feeds the interference model from lagging reports. */
 import type * as controlState from '@ebonyweir/control-state'
+import type * as budgets from './budgets.js'
 import type * as interference from './interference.js'
 import * as softState from './softState.js'
 import type * as types from './types.js'
@@ -10,6 +11,9 @@
 /** Bounds of the unexplained slowdown, as logarithms: a few wild samples must not evict work. */
 const RESIDUAL_BOUNDS = { min: -0.1, max: 0.4 } as const
 
+/** Part of an unexpected measurement that is taken for real and not for noise. */
+const SAMPLE_TRUST = 0.3
+
 const FULL_PERCENT = 100
 
 const guardOf = (memory: softState.WorkerMemory, service: string): softState.GuardMemory => {
@@ -22,6 +26,8 @@
 
 /** Learns from tail-latency samples, each joined with what ran when it was taken. */
 export const learnServices = (
+  set: controlState.RuleSet,
+  budget: budgets.Budgets,
   memory: softState.WorkerMemory,
   report: types.WorkerReport,
   model: interference.Interference,
@@ -35,6 +41,8 @@
     if (composition === undefined || load === undefined) continue
     const measured = Math.log(p99Ms)
     const surprise = model.learn(`service/${service}`, load, composition.shares, measured)
+    const level = model.level(`service/${service}`, load) ?? measured
+    budget.note(set, service, measured - (1 - SAMPLE_TRUST) * surprise - level)
     const next = guard.residual + RESIDUAL_WEIGHT * (surprise - guard.residual)
     guard.residual = Math.min(RESIDUAL_BOUNDS.max, Math.max(RESIDUAL_BOUNDS.min, next))
   }
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -7,8 +7,11 @@
 import type * as unplaced from './unplaced.js'
 import * as waiting from './waiting.js'
 
-/** Time an urgent task waits for free capacity before room is made, in milliseconds. */
-const URGENT_PATIENCE_MS = 1_000
+/**
+ * Time an urgent task waits on kept capacity before others are evicted, in milliseconds. Eviction,
+ * checkpoint and start take up to 4 s more of the 10 s within which urgent work starts.
+ */
+const URGENT_PATIENCE_MS = 4_000
 
 export interface PlacementTools {
   readonly resolved: options.ResolvedSchedulerOptions
@@ -51,7 +54,7 @@
     }
     if (first === undefined) return
     reports.note(plan, first)
-    if (resolved.parts.preemption) rooms.makeRoom(plan, first, missing)
+    if (resolved.parts.preemption) rooms.makeRoom(plan, first, missing, true)
   }
 
   const hasQuota = (job: controlState.JobView): boolean => {
@@ -86,7 +89,7 @@
     if (task.failedOn === '') blockedShapes.add(shape)
     const sinceMs = reports.note(plan, task)
     const isDue = plan.nowMs - sinceMs >= URGENT_PATIENCE_MS
-    if (job.urgent && isDue && resolved.parts.preemption) rooms.makeRoom(plan, task, 1)
+    if (job.urgent && resolved.parts.preemption) rooms.makeRoom(plan, task, 1, isDue)
     return 'blocked'
   }
 
@@ -141,5 +144,6 @@
 
   for (const service of view.lackingServices()) placeRunners(service)
   placeQueues('urgent')
+  rooms.release(plan)
   placeQueues('normal')
 }
--- a/packages/scheduling/src/placers.ts
+++ b/packages/scheduling/src/placers.ts
@@ -1,6 +1,6 @@
 /** Choice of a worker for one task: the scored policy and its simple baselines. */
 import * as controlState from '@ebonyweir/control-state'
-import * as budgets from './budgets.js'
+import type * as budgets from './budgets.js'
 import * as candidates from './candidates.js'
 import type * as interference from './interference.js'
 import type * as options from './options.js'
@@ -68,6 +68,7 @@
     private readonly random: types.Random,
     private readonly parts: options.PolicyParts,
     private readonly model: interference.Interference,
+    private readonly budgets: budgets.Budgets,
   ) {}
 
   choose(plan: plans.Plan, task: waiting.WaitingTask): controlState.WorkerView | undefined {
@@ -133,7 +134,7 @@
     const after = new Map(profile.shares).set(kind, (profile.shares.get(kind) ?? 0) + share)
     let harm = this.batchHarm(profile.shares, kind, share) * weighting.throughput
     for (const [service, load] of profile.loads) {
-      const budget = budgets.budgetOf(plan.view.rules(), service)
+      const budget = this.budgets.budgetOf(plan.view.rules(), service)
       const { mean, deviation } = this.model.estimate(`service/${service}`, load, after)
       const expected = mean + budget.caution * deviation
       const added = this.model.coefficient(`service/${service}`, load, kind).mean * share
@@ -155,10 +156,11 @@
 export const createPlacer = (
   resolved: options.ResolvedSchedulerOptions,
   model: interference.Interference,
+  budget: budgets.Budgets,
 ): Placer => {
   switch (resolved.parts.placement) {
     case 'scored':
-      return new ScoredPlacer(resolved.random, resolved.parts, model)
+      return new ScoredPlacer(resolved.random, resolved.parts, model, budget)
     case 'firstFit':
       return new FirstFitPlacer()
     case 'random':
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,5 +1,6 @@
 /** Placement, urgency, quotas, interference, throttling, eviction and drain order of a cell. */
 import type * as controlState from '@ebonyweir/control-state'
+import * as budgets from './budgets.js'
 import * as drains from './drain.js'
 import * as guards from './guard.js'
 import * as interference from './interference.js'
@@ -53,12 +54,13 @@
   const { parts } = resolved
   const soft = softState.createSoftState()
   const model = interference.createInterference()
-  const guard = guards.createGuard(parts, soft, model)
+  const budget = budgets.createBudgets()
+  const guard = guards.createGuard(parts, soft, model, budget)
   const drain = drains.createDrain(parts, soft)
   const cursors = new Map<string, waiting.QueueCursor>()
   const tools: placement.PlacementTools = {
     resolved,
-    placer: placers.createPlacer(resolved, model),
+    placer: placers.createPlacer(resolved, model, budget),
     reports: unplaced.createUnplacedReports(),
     rooms: preemption.createPreemption(resolved),
     cursorOf: (queue) => {
@@ -78,7 +80,7 @@
     const memory = softState.noteReport(soft, view, report)
     const worker = view.worker(report.worker)
     if (memory === undefined || worker === undefined) return
-    learning.learnServices(memory, report, model)
+    learning.learnServices(view.rules(), budget, memory, report, model)
     drain.relieve(view, worker)
     if (parts.guard) guard.review(view, worker, memory, nowMs)
   }
