feat(scheduling): hold overusing tasks to their declared size on full workers

Cause: with wrong sizes the sum of used processors exceeds the worker and slows everything on it.

Change: the guard throttles tasks that use more than they declared while their worker is full; baselines keep what operators ask of any policy (runners first, urgent work in time).

--- a/packages/experiment/src/batch/policies.ts
+++ b/packages/experiment/src/batch/policies.ts
@@ -7,14 +7,17 @@
   readonly parts: Partial<scheduling.PolicyParts>
 }
 
+/**
+ * What the simple policies leave out. They keep what operators ask of any policy: runners first,
+ * urgent work within 10 s, and no work in a failure domain that is out.
+ */
 const SIMPLE = {
   guard: false,
+  victim: 'newest',
   interferencePlacement: false,
   spread: false,
   refill: false,
   quarantine: false,
-  drainOrder: false,
-  preemption: false,
 } as const
 
 export const POLICIES: readonly Policy[] = [
--- a/packages/scheduling/src/guard.ts
+++ b/packages/scheduling/src/guard.ts
@@ -29,6 +29,9 @@
 
 const FULL_PERCENT = 100
 
+/** Share of a worker above which its processors count as full. */
+const FULL_SHARE = 0.97
+
 interface Aggressor {
   readonly task: controlState.TaskView
   readonly share: number
@@ -138,16 +141,42 @@
     soft.evictions.set(task, { task, attempt, worker, reason: 'guard', rule })
   }
 
+  /** Holds tasks that use more than they declared to their declared size on a worker that is full. */
+  const holdToDeclared = (
+    worker: controlState.WorkerView,
+    memory: softState.WorkerMemory,
+  ): Map<controlState.TaskView, number> => {
+    const capacity = Math.max(1, worker.capacity.cpuMillis)
+    const percents = new Map<controlState.TaskView, number>()
+    const demands = [...worker.tasks.values()].map((task) => ({
+      task,
+      declared: task.resources.cpuMillis / capacity,
+      demand: softState.demandShareOf(worker, task, memory.running.get(task.task)),
+    }))
+    let excess = demands.reduce((sum, { demand }) => sum + demand, 0) - FULL_SHARE
+    const largestFirst = demands
+      .filter(({ task, demand, declared }) => task.kind === 'batch' && demand > declared)
+      .sort((a, b) => b.demand - b.declared - (a.demand - a.declared))
+    for (const { task, demand, declared } of largestFirst) {
+      if (excess <= 0) break
+      const cut = Math.min(excess, demand - declared)
+      percents.set(task, FULL_PERCENT * (1 - cut / demand))
+      excess -= cut
+    }
+    return percents
+  }
+
   const review: Guard['review'] = (view, worker, memory, nowMs) => {
     const wanted: Wanted[] = []
     for (const [service, load] of memory.profile.loads) {
       const found = wantedFor(view, worker, memory, service, load)
       if (found !== undefined) wanted.push(found)
     }
+    const held = holdToDeclared(worker, memory)
     for (const task of worker.tasks.values()) {
       if (task.kind !== 'batch') continue
       const percents = wanted.map(({ percents: map }) => map.get(task) ?? FULL_PERCENT)
-      setThrottle(task, Math.min(FULL_PERCENT, ...percents), nowMs)
+      setThrottle(task, Math.min(held.get(task) ?? FULL_PERCENT, ...percents), nowMs)
     }
     const over = wanted.find(({ excess }) => excess > TOLERATED_EXCESS)
     if (over === undefined || over.aggressors.length === 0) {
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -110,12 +110,16 @@
 
   const makeRoom: Preemption['makeRoom'] = (plan, task, count, mayEvict) => {
     asked.add(task.subject)
-    const held = [...plan.soft.reservations.values()]
-    const missing = count - held.filter(({ subject }) => subject === task.subject).length
+    const untilMs = plan.nowMs + RESERVATION_MS
+    let missing = count
+    for (const [worker, { subject }] of plan.soft.reservations) {
+      if (subject !== task.subject) continue
+      missing -= 1
+      plan.soft.reservations.set(worker, { subject, untilMs })
+    }
     for (let index = 0; index < Math.min(missing, MAX_PER_DECISION); index += 1) {
       const room = findRoom(plan, task)
       if (room === undefined) break
-      const untilMs = plan.nowMs + RESERVATION_MS
       plan.soft.reservations.set(room.worker.worker, { subject: task.subject, untilMs })
     }
     if (mayEvict) evictReserved(plan, task)
