fix(scheduling): tolerate noise in reported usage and give up closed reservations

Cause: reported usage is noisy, so tasks of the right size were held back on full workers; a reservation on a worker that was quarantined meanwhile was renewed and an urgent task waited 15.7 s.

Change: only use of 1.2 times the declared size on a worker above 1.03 of its processors counts; a reservation on a worker that no longer takes the task is dropped.

--- a/packages/scheduling/src/guard.ts
+++ b/packages/scheduling/src/guard.ts
@@ -29,8 +29,11 @@
 
 const FULL_PERCENT = 100
 
-/** Share of a worker above which its processors count as full. */
-const FULL_SHARE = 0.97
+/** Used share above which a worker is overloaded; reported usage is off by some percent. */
+const OVERLOADED_SHARE = 1.03
+
+/** Use relative to the declared size from which a task counts as larger than declared. */
+const OVERUSE = 1.2
 
 interface Aggressor {
   readonly task: controlState.TaskView
@@ -141,7 +144,7 @@
     soft.evictions.set(task, { task, attempt, worker, reason: 'guard', rule })
   }
 
-  /** Holds tasks that use more than they declared to their declared size on a worker that is full. */
+  /** Holds tasks that use more than they declared to their declared size on an overloaded worker. */
   const holdToDeclared = (
     worker: controlState.WorkerView,
     memory: softState.WorkerMemory,
@@ -153,9 +156,9 @@
       declared: task.resources.cpuMillis / capacity,
       demand: softState.demandShareOf(worker, task, memory.running.get(task.task)),
     }))
-    let excess = demands.reduce((sum, { demand }) => sum + demand, 0) - FULL_SHARE
+    let excess = demands.reduce((sum, { demand }) => sum + demand, 0) - OVERLOADED_SHARE
     const largestFirst = demands
-      .filter(({ task, demand, declared }) => task.kind === 'batch' && demand > declared)
+      .filter(({ task, demand, declared }) => task.kind === 'batch' && demand > declared * OVERUSE)
       .sort((a, b) => b.demand - b.declared - (a.demand - a.declared))
     for (const { task, demand, declared } of largestFirst) {
       if (excess <= 0) break
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -114,6 +114,12 @@
     let missing = count
     for (const [worker, { subject }] of plan.soft.reservations) {
       if (subject !== task.subject) continue
+      const known = plan.view.worker(worker)
+      // A worker that closed meanwhile, for example by quarantine, is given up.
+      if (known === undefined || !plan.isOpen(known, task)) {
+        plan.soft.reservations.delete(worker)
+        continue
+      }
       missing -= 1
       plan.soft.reservations.set(worker, { subject, untilMs })
     }
