--- a/packages/control-state/__tests__/model.spec.ts
+++ b/packages/control-state/__tests__/model.spec.ts
@@ -93,7 +93,8 @@
   model.claims.set(key.key, holder)
   const settlement = [ClaimOutcome.NOT_RUN, ClaimOutcome.ANSWERED, ClaimOutcome.UNKNOWN][c % 3]
   if (settlement === undefined || c % 4 !== 0) return
-  const settle = { ...key, requestId, outcome: settlement, answerStatus: 200 }
+  const agent = { agent: 'a', agentAddress: '127.0.0.1:1', agentIncarnation: 1 }
+  const settle = { ...key, ...agent, requestId, outcome: settlement, answerStatus: 200 }
   const result = log.run({ $case: 'settleClaim', value: settle })
   if (result.kind === 'claimSettled' && result.result === 'freed') model.claims.delete(key.key)
 }
