feat(consensus): replicated log as a pure step function

Cause: the control group needs one order of commands that survives the loss of any one instance.

Each guard can be switched off by an option.

--- /dev/null
+++ b/packages/consensus/src/config.ts
@@ -0,0 +1,38 @@
+import type * as types from './types.js'
+
+export const allGuards: types.Guards = {
+  syncBeforeSend: true,
+  preVote: true,
+  stickyLeader: true,
+  restartGrace: true,
+  identity: true,
+  leaderLease: true,
+  leaseEndsAtTransfer: true,
+  quorumStepDown: true,
+  emptyEntryFirst: true,
+  commitOwnTermOnly: true,
+  oneChangeAtATime: true,
+  repairedNeedsAcknowledgement: true,
+  refuseRolledBack: true,
+}
+
+/** Options of a replica's protocol; everything but `cell` and `id` has a default. */
+export type ConfigOptions = Pick<types.Config, 'cell' | 'id'> & Partial<types.Config>
+
+/**
+ * Fills in the defaults. The leader lease is shorter than the minimum election timeout by more than two clocks can
+ * drift apart at 2 % each.
+ */
+export const resolveConfig = (options: ConfigOptions): types.Config => ({
+  heartbeatMs: 100,
+  electionTimeoutMinMs: 1_000,
+  electionTimeoutMaxMs: 2_000,
+  leaderLeaseMs: 900,
+  maxMessageBytes: 256 * 1024,
+  maxInFlightBytes: 4 * 1024 * 1024,
+  maxInFlightMessages: 4,
+  maxUncommittedBytes: 32 * 1024 * 1024,
+  trailingEntries: 2_000,
+  guards: allGuards,
+  ...options,
+})
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+/** Pure replicated log: elections, replication, snapshots, membership and the leader lease. */
+export * as logs from './log.js'
+export * as membership from './membership.js'
+export * from './types.js'
+export * from './config.js'
+export * from './state.js'
+export * from './status.js'
+export * from './step.js'
--- /dev/null
+++ b/packages/consensus/src/members.ts
@@ -0,0 +1,99 @@
+import * as protocol from '@ebonyweir/protocol'
+import * as contexts from './context.js'
+import * as election from './election.js'
+import * as leader from './leader.js'
+import * as memberships from './membership.js'
+import * as sending from './sending.js'
+import type * as types from './types.js'
+
+const { EntryKind } = protocol.replication
+
+const appendMembership = (context: contexts.Context, membership: types.Membership): void => {
+  const payload = memberships.encode(membership)
+  const entries = leader.newEntries(context.state, EntryKind.MEMBERSHIP, [payload])
+  contexts.appendEntries(context, entries)
+  leader.refreshProgress(context)
+  const index = context.state.log.lastIndex
+  for (const id of Object.keys(context.state.progress)) {
+    sending.setProgress(context, id, { fenceIndex: index })
+  }
+}
+
+/** Why no membership change may start now, or undefined. */
+const obstacle = (state: types.State): string | undefined => {
+  if (!state.config.guards.oneChangeAtATime) return undefined
+  if (!leader.ownTermCommitted(state)) return 'no entry of this term is committed yet'
+  if (memberships.currentIndex(state) > state.commitIndex) {
+    return 'the change before is not committed yet'
+  }
+  return undefined
+}
+
+/** Starts a change of the membership by one member. */
+export const changeMembers = (context: contexts.Context, change: types.MembershipChange): void => {
+  const { state } = context
+  if (state.role !== 'leader' || state.transfer !== undefined) {
+    leader.refuse(context, 'not-leader', 'this replica is not the leader')
+    return
+  }
+  const reason = obstacle(state)
+  if (reason !== undefined) {
+    leader.refuse(context, 'change-in-progress', reason)
+    return
+  }
+  const changed = memberships.applyChange(memberships.current(state), change)
+  if (changed.isErr()) {
+    leader.refuse(context, 'invalid-change', changed.error)
+    return
+  }
+  appendMembership(context, changed.value)
+  accepted(context)
+  sending.sendToAll(context)
+}
+
+const accepted = (context: contexts.Context): void => {
+  const { state } = context
+  context.outputs.push({
+    kind: 'accepted',
+    firstIndex: state.log.lastIndex,
+    term: state.hardState.term,
+    count: 1,
+  })
+}
+
+/** Makes a learner a voter once it has acknowledged everything that is committed. */
+export const promoteLearner = (context: contexts.Context): void => {
+  const { state } = context
+  if (state.transfer !== undefined || obstacle(state) !== undefined) return
+  const ready = memberships.others(state).find((member) => {
+    const progress = state.progress[member.id]
+    if (member.voter || progress === undefined || progress.refused || progress.lapsed) return false
+    return progress.matchIndex >= Math.max(state.commitIndex, progress.fenceIndex)
+  })
+  if (ready === undefined) return
+  appendMembership(context, memberships.promote(memberships.current(state), ready.id))
+  sending.sendToAll(context)
+}
+
+/** Forms the group with a first entry that is the same on each replica. */
+export const bootstrap = (context: contexts.Context, membership: types.Membership): void => {
+  const { state } = context
+  if (state.log.lastIndex > 0 || state.hardState.term > 0) {
+    leader.refuse(context, 'already-formed', 'the log is not empty')
+    return
+  }
+  contexts.setHardState(context, { term: 1, votedFor: undefined })
+  const payload = memberships.encode(membership)
+  contexts.appendEntries(context, leader.newEntries(context.state, EntryKind.MEMBERSHIP, [payload]))
+  contexts.update(context, { electionStartMs: context.nowMs })
+  accepted(context)
+}
+
+/** Ends leadership once a membership without this replica is committed. */
+export const leaveIfRemoved = (context: contexts.Context): void => {
+  const { state } = context
+  if (state.role !== 'leader' || memberships.currentIndex(state) > state.commitIndex) return
+  if (memberships.isVoter(memberships.current(state), state.config.id)) return
+  sending.sendHeartbeats(context)
+  election.becomeFollower(context, state.hardState.term, undefined)
+}
--- /dev/null
+++ b/packages/consensus/src/state.ts
@@ -0,0 +1,62 @@
+import * as logs from './log.js'
+import * as memberships from './membership.js'
+import type * as types from './types.js'
+
+/** What a replica finds on its disk when it starts. */
+export interface Recovered {
+  readonly hardState: types.HardState
+  readonly snapshot: types.SnapshotMeta | undefined
+  /** Entries that continue the snapshot without a gap. */
+  readonly entries: readonly types.LogEntry[]
+}
+
+export const emptyDisk: Recovered = {
+  hardState: { term: 0, votedFor: undefined },
+  snapshot: undefined,
+  entries: [],
+}
+
+/**
+ * State of a replica after a start.
+ *
+ * @param jitter number in [0, 1) that randomizes the first election timeout
+ */
+export const createState = (
+  config: types.Config,
+  recovered: Recovered,
+  nowMs: number,
+  jitter: number,
+): types.State => {
+  const { snapshot, entries, hardState } = recovered
+  const base = logs.createLog(snapshot?.lastIndex, snapshot?.lastTerm)
+  const log = logs.append(base, entries)
+  const initial =
+    snapshot === undefined ? [] : [{ index: snapshot.lastIndex, membership: snapshot.membership }]
+  return {
+    config,
+    role: 'follower',
+    hardState,
+    log,
+    snapshot,
+    memberships: [...initial, ...memberships.inEntries(entries)],
+    commitIndex: base.lastIndex,
+    syncedIndex: log.lastIndex,
+    persistSequence: 0,
+    syncedSequence: 0,
+    hardStateSequence: 0,
+    pending: [],
+    held: [],
+    leaderId: undefined,
+    leaderContactMs: undefined,
+    startedMs: nowMs,
+    electionStartMs: nowMs,
+    jitter,
+    votes: [],
+    incoming: undefined,
+    progress: {},
+    round: 0,
+    heartbeatSentMs: nowMs,
+    termStartIndex: 0,
+    transfer: undefined,
+  }
+}
