--- /dev/null
+++ b/packages/replica/__tests__/group.spec.ts
@@ -0,0 +1,211 @@
+import * as vitest from 'vitest'
+import * as groups from './group.js'
+
+const { afterEach, describe, expect, test } = vitest
+
+const names = ['a', 'b', 'c']
+let group = groups.createGroup()
+
+const begin = async (options?: Parameters<typeof groups.createGroup>[0]) => {
+  group = groups.createGroup(options)
+  return group.form(names)
+}
+
+const others = (name: string) => names.filter((other) => other !== name)
+
+afterEach(async () => {
+  await group.stop()
+})
+
+describe('a group of three', () => {
+  type Fault = (leader: string) => Promise<void>
+  const faults: readonly (readonly [string, Fault])[] = [
+    ['nothing', () => Promise.resolve()],
+    [
+      'the crash of the leader',
+      (leader) => {
+        group.crash(leader)
+        return Promise.resolve()
+      },
+    ],
+    [
+      'the crash and restart of a follower',
+      async (leader) => {
+        const follower = others(leader)[0] ?? ''
+        group.crash(follower)
+        await group.start(follower)
+      },
+    ],
+    [
+      'the crash and restart of all replicas',
+      async () => {
+        for (const name of names) group.crash(name)
+        for (const name of names) await group.start(name)
+      },
+    ],
+    [
+      'a partition of the leader',
+      (leader) => {
+        group.cut.add(leader)
+        return Promise.resolve()
+      },
+    ],
+  ]
+
+  // Guards against committed commands that are lost, repeated or reordered by a fault.
+  test.each(faults)('keeps every committed command through %s', async (_name, fault) => {
+    await begin()
+    for (const text of ['1', '2', '3']) await groups.commit(group, text)
+    await fault((await group.leader()).name)
+    await groups.commit(group, '4')
+    const { applied } = await group.leader()
+    expect(applied).toEqual(['1', '2', '3', '4'])
+    group.cut.clear()
+    await groups.waitFor(() => [...group.running.values()].every((n) => n.applied.length === 4))
+    for (const node of group.running.values()) expect(node.applied).toEqual(applied)
+  })
+
+  // Guards against a leader that still serves reads after a partition cut it off.
+  test('ends the lease of a leader that is cut off before another one leads', async () => {
+    await begin()
+    const old = await group.leader()
+    group.cut.add(old.name)
+    const next = await group.leader()
+    expect(next.name).not.toBe(old.name)
+    expect(old.replica.leadership().leaseValid).toBe(false)
+    expect((await old.replica.propose(Buffer.from('x'))).isErr()).toBe(true)
+  })
+
+  // Guards against a snapshot that never reaches a member whose entries are compacted.
+  test('brings a member up to date by a snapshot in several chunks', async () => {
+    await begin({
+      snapshotEveryEntries: 20,
+      consensus: { trailingEntries: 2 },
+    })
+    const lagging = others((await group.leader()).name)[0] ?? ''
+    group.crash(lagging)
+    const filler = 'x'.repeat(100_000)
+    for (let count = 0; count < 45; count += 1) await groups.commit(group, `${count} ${filler}`)
+    const restarted = await group.start(lagging)
+    await groups.waitFor(() => restarted.applied.length === 45)
+    expect(restarted.applied).toEqual((await group.leader()).applied)
+  })
+
+  // Guards against a graceful stop that leaves the group without leader for an election timeout.
+  test('hands leadership over when the leader stops', async () => {
+    await begin({ consensus: { electionTimeoutMinMs: 5_000, electionTimeoutMaxMs: 5_100 } })
+    const first = group.running.get('a')
+    // With these timeouts nobody campaigns within the test, so the first election is forced by hand.
+    first?.replica.deliver({
+      cell: 'test',
+      from: group.running.get('b')?.replica.id ?? '',
+      to: first.replica.id,
+      term: 1,
+      fromAddress: 'b',
+      body: {
+        $case: 'appendRequest',
+        value: { previousIndex: 1, previousTerm: 1, entries: [], commitIndex: 1, round: 1 },
+      },
+    })
+    first?.replica.deliver({
+      cell: 'test',
+      from: group.running.get('b')?.replica.id ?? '',
+      to: first.replica.id,
+      term: 1,
+      fromAddress: 'b',
+      body: { $case: 'timeoutNow', value: {} },
+    })
+    await groups.waitFor(() => first?.replica.leadership().leaseValid === true)
+    await groups.waitFor(
+      () =>
+        first?.replica.membersStatus().members.every((m) => m.lastContactMs !== undefined) ?? false,
+    )
+    await first?.replica.stop()
+    group.running.delete('a')
+    const next = await group.leader()
+    expect(next.name).not.toBe('a')
+  })
+})
+
+describe('membership', () => {
+  // Guards against "repaired" before the new disk holds the log, and against losing commands with the second instance.
+  test('replaces a replica with a lost disk, reports repaired, and survives a second loss', async () => {
+    await begin()
+    await groups.commit(group, '1')
+    const leader = await group.leader()
+    await groups.waitFor(() => leader.replica.membersStatus().repaired)
+    const lost = others(leader.name)[0] ?? ''
+    const lostId = group.running.get(lost)?.replica.id ?? ''
+    group.crash(lost)
+    group.loseDisk(lost)
+    await groups.commit(group, '2')
+    await groups.waitFor(() => !leader.replica.membersStatus().repaired)
+    const replacement = await group.start(lost)
+    expect(replacement.replica.id).not.toBe(lostId)
+    const member = group.memberOf(replacement)
+    ;(await leader.replica.changeMembers({ kind: 'add', member })).unwrap()
+    await groups.waitFor(() => replacement.replica.leadership().role === 'follower')
+    let removed = await leader.replica.changeMembers({ kind: 'remove', id: lostId })
+    while (removed.isErr() && removed.error.kind === 'change-in-progress') {
+      await new Promise((resolve) => setTimeout(resolve, 10))
+      removed = await leader.replica.changeMembers({ kind: 'remove', id: lostId })
+    }
+    removed.unwrap()
+    await groups.waitFor(() => leader.replica.membersStatus().repaired)
+    group.crash(leader.name)
+    await groups.commit(group, '3')
+    expect((await group.leader()).applied).toEqual(['1', '2', '3'])
+  })
+
+  // Guards against a member whose disk went back in time and that is still counted for commits.
+  test('refuses a member whose disk was rolled back', async () => {
+    await begin()
+    await groups.commit(group, '1')
+    const leader = await group.leader()
+    const victim = others(leader.name)[0] ?? ''
+    const earlier = group.disks.get(victim)?.clone()
+    await groups.commit(group, '2')
+    await groups.waitFor(() => group.running.get(victim)?.applied.length === 2)
+    group.crash(victim)
+    if (earlier !== undefined) group.disks.set(victim, earlier)
+    await group.start(victim)
+    await groups.waitFor(() => leader.replica.membersStatus().members.some((m) => m.refused))
+    expect(leader.replica.membersStatus().repaired).toBe(false)
+  })
+})
+
+describe('a disk that fails', () => {
+  const faults: readonly (readonly [string, (name: string) => void])[] = [
+    [
+      'a full disk',
+      (name) => {
+        const disk = group.disks.get(name)
+        if (disk) disk.faults.freeBytes = 10
+      },
+    ],
+    [
+      'a failing sync',
+      (name) => {
+        const disk = group.disks.get(name)
+        if (disk) disk.faults.syncsUntilFailure = 0
+      },
+    ],
+  ]
+
+  // Guards against an acknowledgement of something that never reached the disk.
+  test.each(faults)('stops the replica on %s and the others go on', async (_name, inject) => {
+    await begin()
+    await groups.commit(group, '1')
+    const leader = await group.leader()
+    inject(leader.name)
+    const result = await leader.replica.propose(Buffer.from('2'))
+    await groups.waitFor(() => leader.fatal.length === 1)
+    expect(leader.fatal[0]?.kind).toBe('disk')
+    // The other two may have synced the entry and confirmed it before the leader's own sync failed.
+    expect(result.isOk() || result.error.kind === 'stopped').toBe(true)
+    group.running.delete(leader.name)
+    await groups.commit(group, '3')
+    const { applied } = await group.leader()
+    expect(applied.filter((text) => text !== '2')).toEqual(['1', '3'])
+  })
+})
--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -1,74 +1,190 @@
-import * as crypto from 'node:crypto'
+import * as consensus from '@ebonyweir/consensus'
+import * as storages from '@ebonyweir/storage'
 import * as results from 'ts-results-es'
+import * as clocks from './clock.js'
+import * as engines from './engine.js'
+import * as proposalQueues from './proposals.js'
+import * as status from './status.js'
 import type * as types from './types.js'
 
-/** Creates a replica from its data folder. Holds the log in memory and commits with a single member. */
-export const createReplica = <Outcome>(
+/** Interval at which timeouts are checked. */
+const tickMs = 25
+
+const defaultMaxPayloadBytes = 1024 * 1024
+
+/** Creates a replica from its data folder; it takes part in its group after `start()`. */
+export const createReplica = async <Outcome>(
   options: types.ReplicaOptions<Outcome>,
 ): Promise<results.Result<types.Replica<Outcome>, types.OpenError>> => {
-  const id = crypto.randomUUID()
-  let members: readonly types.Member[] = []
-  let index = 0
-  let stopped = false
-
-  const leadership = (): types.Leadership => {
-    const self = members.find((member) => member.id === id)
-    const leads = !stopped && self !== undefined && members.length === 1
-    return {
-      role: leads ? 'leader' : 'follower',
-      term: members.length === 0 ? 0 : 1,
-      leader: leads ? self : undefined,
-      leaseValid: leads,
-    }
+  const { cell, dataFolder: folder, fileSystem } = options
+  const opened = await storages.openStorage({ cell, folder, fileSystem })
+  if (opened.isErr()) return results.Err(opened.error)
+  return results.Ok(assemble(options, opened.value))
+}
+
+const initialState = <Outcome>(
+  options: types.ReplicaOptions<Outcome>,
+  { storage, recovered }: storages.OpenedStorage,
+  nowMs: number,
+  random: () => number,
+): consensus.State => {
+  const config = consensus.resolveConfig({
+    ...options.consensus,
+    cell: options.cell,
+    id: storage.id,
+  })
+  const disk = { ...recovered, snapshot: recovered.snapshot?.meta }
+  return consensus.createState(config, disk, nowMs, random())
+}
+
+const assemble = <Outcome>(
+  options: types.ReplicaOptions<Outcome>,
+  opened: storages.OpenedStorage,
+): types.Replica<Outcome> => {
+  const clock = options.clock ?? new clocks.ProcessClock()
+  const random = options.random ?? Math.random
+  const { storage, recovered } = opened
+  if (recovered.snapshot !== undefined) options.stateMachine.restore(recovered.snapshot.data)
+  const watchers = new Set<() => void>()
+  let lastSeen = ''
+
+  const engine = engines.createEngine<Outcome>({
+    replica: options,
+    clock,
+    storage,
+    initial: initialState(options, opened, clock.nowMs(), random),
+    onChange: () => {
+      notify()
+    },
+  })
+
+  const leadership = () => status.leadership(engine, clock.nowMs())
+
+  const notify = (): void => {
+    const now = leadership()
+    const seen = `${now.role} ${now.term} ${now.leader?.id ?? ''} ${now.leaseValid}`
+    if (seen === lastSeen) return
+    lastSeen = seen
+    for (const watcher of [...watchers]) watcher()
+    options.onLeadershipChange?.(now)
+  }
+
+  const proposals = proposalQueues.createProposals({
+    engine,
+    maxPayloadBytes: options.maxPayloadBytes ?? defaultMaxPayloadBytes,
+    leader: () => leadership().leader,
+  })
+
+  let cancelTick: types.CancelTimer = () => undefined
+  const tick = (): void => {
+    engine.run({ kind: 'tick', jitter: random() })
+    if (!engine.halted) cancelTick = clock.setTimer(tickMs, tick)
   }
 
-  const propose: types.Replica<Outcome>['propose'] = (payload) => {
-    if (stopped) return Promise.resolve(results.Err({ kind: 'stopped' }))
-    if (leadership().role !== 'leader') {
-      return Promise.resolve(results.Err({ kind: 'not-leader', leader: undefined }))
-    }
-    index += 1
-    const outcome = options.stateMachine.apply({ index, term: 1, payload })
-    return Promise.resolve(results.Ok({ index, term: 1, outcome }))
+  const transferLeadership = (target?: string): Promise<boolean> => {
+    if (engine.state.role !== 'leader') return Promise.resolve(leadership().leader !== undefined)
+    engine.run({ kind: 'transfer', target })
+    if (engine.state.transfer === undefined) return Promise.resolve(false)
+    return new Promise((resolve) => {
+      const finish = (done: boolean): void => {
+        watchers.delete(watcher)
+        cancelTimer()
+        resolve(done)
+      }
+      const watcher = (): void => {
+        const { role, leader } = leadership()
+        if (engine.halted) finish(false)
+        else if (role !== 'leader' && leader !== undefined) finish(true)
+      }
+      const cancelTimer = clock.setTimer(engine.state.config.electionTimeoutMaxMs, () => {
+        finish(false)
+      })
+      watchers.add(watcher)
+    })
   }
 
-  return Promise.resolve(
-    results.Ok({
-      id,
-      start: () => undefined,
-      propose,
-      deliver: () => undefined,
-      leadership,
-      bootstrap: (initial) => {
-        if (members.length > 0) {
-          return Promise.resolve(
-            results.Err({ kind: 'already-formed', detail: 'the log is not empty' }),
-          )
+  const changeMembers: types.Replica<Outcome>['changeMembers'] = (change) =>
+    new Promise((resolve) => {
+      if (engine.halted) {
+        resolve(results.Err({ kind: 'stopped' }))
+        return
+      }
+      engine.run({ kind: 'changeMembers', change }, (outputs) => {
+        for (const output of outputs) {
+          if (output.kind === 'accepted') {
+            engine.memberChanges.add(output.firstIndex, output.term, resolve)
+          }
+          if (output.kind === 'refused') resolve(results.Err(toMembersError(output, leadership())))
         }
-        members = initial
-        options.onLeadershipChange?.(leadership())
-        return Promise.resolve(results.Ok(undefined))
-      },
-      changeMembers: () =>
-        Promise.resolve(
-          results.Err({ kind: 'invalid-change', detail: 'not available with a single member' }),
-        ),
-      membersStatus: () => ({
-        members: members.map((member) => ({
-          ...member,
-          acknowledgedIndex: index,
-          lastContactMs: 0,
-          refused: false,
-        })),
-        commitIndex: index,
-        repaired: false,
-        reason: 'a single member has no quorum after a loss',
-      }),
-      transferLeadership: () => Promise.resolve(false),
-      stop: () => {
-        stopped = true
-        return Promise.resolve()
-      },
-    }),
-  )
+      })
+    })
+
+  const bootstrap: types.Replica<Outcome>['bootstrap'] = async (members) => {
+    const problem = bootstrapProblem(members, storage.id)
+    if (problem !== undefined) return results.Err(problem)
+    const formed = await new Promise<types.BootstrapError | undefined>((resolve) => {
+      if (engine.halted) {
+        resolve({ kind: 'stopped', detail: 'the replica has stopped' })
+        return
+      }
+      engine.run({ kind: 'bootstrap', membership: { members } }, (outputs) => {
+        const refused = outputs.find((output) => output.kind === 'refused')
+        resolve(refused && { kind: 'already-formed', detail: refused.detail })
+      })
+    })
+    if (formed !== undefined) return results.Err(formed)
+    await engine.idle()
+    return results.Ok(undefined)
+  }
+
+  return {
+    id: storage.id,
+    start: tick,
+    propose: (payload) => proposals.propose(payload),
+    deliver: (envelope) => {
+      engine.run({ kind: 'message', envelope })
+    },
+    leadership,
+    bootstrap,
+    changeMembers,
+    membersStatus: () => status.membersStatus(engine.state, clock.nowMs()),
+    transferLeadership,
+    stop: async () => {
+      if (!engine.halted && engine.state.role === 'leader') await transferLeadership()
+      cancelTick()
+      engine.halt()
+      await engine.idle()
+      await storage.close()
+    },
+  }
+}
+
+const bootstrapProblem = (
+  members: readonly types.Member[],
+  id: string,
+): types.BootstrapError | undefined => {
+  if (!members.some((member) => member.id === id)) {
+    return { kind: 'not-in-members', detail: `the members do not include this replica, ${id}` }
+  }
+  const ids = new Set(members.map((member) => member.id))
+  if (ids.size !== members.length) {
+    return { kind: 'invalid-members', detail: 'a member is listed twice' }
+  }
+  if (!members.every((member) => member.voter)) {
+    return { kind: 'invalid-members', detail: 'every initial member must be a voter' }
+  }
+  return undefined
+}
+
+const toMembersError = (
+  refused: Extract<consensus.Output, { kind: 'refused' }>,
+  leadership: types.Leadership,
+): types.MembersError => {
+  switch (refused.reason) {
+    case 'change-in-progress':
+    case 'invalid-change':
+      return { kind: refused.reason, detail: refused.detail }
+    default:
+      return { kind: 'not-leader', leader: leadership.leader }
+  }
 }
--- a/packages/replica/src/types.ts
+++ b/packages/replica/src/types.ts
@@ -1,4 +1,6 @@
+import type * as consensus from '@ebonyweir/consensus'
 import type * as protocol from '@ebonyweir/protocol'
+import type * as storage from '@ebonyweir/storage'
 import type * as results from 'ts-results-es'
 
 /** Member of a control group as the log records it. */
@@ -74,10 +76,10 @@
 
 /** Why a proposal was not committed by this replica. */
 export type ProposeError =
-  /** Not appended anywhere; the caller may go to `leader`. */
+  /** Will never be committed; the caller may go to `leader`. */
   | { readonly kind: 'not-leader'; readonly leader: LeaderAddress | undefined }
   /** Not appended anywhere: too many bytes wait for commitment. */
-  | { readonly kind: 'overloaded'; readonly waitingBytes: number }
+  | { readonly kind: 'overloaded'; readonly detail: string }
   /** Not appended anywhere: the payload exceeds `limitBytes`. */
   | { readonly kind: 'too-large'; readonly limitBytes: number }
   /** Appended, but leadership was lost before commitment; the command may still be committed. */
@@ -87,7 +89,7 @@
 
 /** Why a group was not formed. */
 export interface BootstrapError {
-  readonly kind: 'already-formed' | 'not-in-members' | 'invalid-members'
+  readonly kind: 'already-formed' | 'not-in-members' | 'invalid-members' | 'stopped'
   readonly detail: string
 }
 
@@ -130,10 +132,7 @@
 }
 
 /** Why a replica could not be created from its data folder. */
-export interface OpenError {
-  readonly kind: 'disk' | 'damaged' | 'newer-version'
-  readonly detail: string
-}
+export type OpenError = storage.OpenError
 
 /** Options of `createReplica`. */
 export interface ReplicaOptions<Outcome> {
@@ -146,6 +145,16 @@
   readonly clock?: Clock
   /** Source of election jitter in [0, 1). @default Math.random */
   readonly random?: () => number
+  /** @default file system of the operating system */
+  readonly fileSystem?: storage.FileSystem
+  /** Timing and bounds of the protocol. @default see `consensus.resolveConfig` */
+  readonly consensus?: Partial<Omit<consensus.Config, 'cell' | 'id'>>
+  /** Entries after which a snapshot is taken. @default 10000 */
+  readonly snapshotEveryEntries?: number
+  /** Payload bytes after which a snapshot is taken. @default 16 MiB */
+  readonly snapshotEveryBytes?: number
+  /** Largest payload of one command. @default 1 MiB */
+  readonly maxPayloadBytes?: number
   /** Called at most once; the process must exit afterwards. */
   readonly onFatal: (error: FatalError) => void
   /** Called after role, term, leader or `leaseValid` may have changed. */
