--- a/packages/settings/src/settings.ts
+++ b/packages/settings/src/settings.ts
@@ -83,13 +83,13 @@
     return results.Ok(toml.parse(tomlText))
   } catch (error) {
     if (!(error instanceof toml.TomlError)) throw error
-    const message = `not valid TOML: ${firstLine(error.message)}`
+    const message = `not valid TOML: ${shorten(error.message)}`
     return results.Err({ mistakes: [{ fileName, line: error.line, field: '', message }] })
   }
 }
 
-function firstLine(message: string): string {
-  return message.split('\n')[0] ?? message
+function shorten(message: string): string {
+  return (message.split('\n')[0] ?? message).replace(/^Invalid TOML document: /u, '')
 }
 
 function findLine(tomlText: string, field: string): number {
