--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -9,6 +9,8 @@
     hookTimeout: 60_000,
     pool: 'forks',
     maxWorkers: 4,
+    // clipanion's ES modules import a folder, which Node does not resolve.
+    server: { deps: { inline: ['clipanion'] } },
   },
 })
 
