fix(rules): a test for a # inside of a string

Cause: with the attempts at later # signs off, all 42 tests of rules still passed.

Change: a case whose string holds a #.

Measured: it fails with only the first # tried and passes with all tried.

--- a/packages/rules/__tests__/parse.spec.ts
+++ b/packages/rules/__tests__/parse.spec.ts
@@ -47,6 +47,11 @@
       'team.a = { cpuMillis = "4", memoryMb = 1 } # Yann',
       'rules.toml:1: team.a.cpuMillis: "4" is not a whole number from 1 to 1000000000',
     ],
+    [
+      'a # inside of a string',
+      'team.a = { cpuMillis = "1 # x", memoryMb = 1 } # Yann',
+      'rules.toml:1: team.a.cpuMillis: "1 # x" is not a whole number from 1 to 1000000000',
+    ],
     [
       'a number out of range',
       'guard.a = { maxSlowdown = 0.5 } # Yann',
