--- a/packages/cli/src/burnSources.ts
+++ b/packages/cli/src/burnSources.ts
@@ -52,13 +52,13 @@
 export function mergeAnswers(answers: readonly protocol.operatorApi.BurnAnswer[]): MergedBurn {
   const objectives = new Map<string, protocol.operatorApi.ServiceObjective>()
   const buckets = new Map<string, protocol.operatorApi.BurnBucket>()
-  // The entry's own count is the newest, so it is put last and replaces the leader's copy.
-  const ordered = [...answers].sort((a, b) =>
-    a.role === b.role ? 0 : a.role === 'control' ? -1 : 1,
-  )
-  for (const answer of ordered) {
+  for (const answer of answers) {
     for (const objective of answer.objectives) objectives.set(objective.service, objective)
-    for (const bucket of answer.buckets) buckets.set(keyOf(bucket), bucket)
+    for (const [key, bucket] of sumRestarts(answer.buckets)) {
+      const known = buckets.get(key)
+      // Counts only grow, so the copy with more requests is the newer one.
+      if (known === undefined || countAll(bucket) > countAll(known)) buckets.set(key, bucket)
+    }
   }
   return {
     cell: answers[0]?.cell ?? '',
@@ -68,6 +68,37 @@
   }
 }
 
+/** Sums buckets that an entry counted before and after a restart within the same interval. */
+function sumRestarts(
+  buckets: readonly protocol.operatorApi.BurnBucket[],
+): ReadonlyMap<string, protocol.operatorApi.BurnBucket> {
+  const sums = new Map<string, protocol.operatorApi.BurnBucket>()
+  for (const bucket of buckets) {
+    const key = keyOf(bucket)
+    const known = sums.get(key)
+    sums.set(key, known === undefined ? bucket : add(known, bucket))
+  }
+  return sums
+}
+
+function add(
+  first: protocol.operatorApi.BurnBucket,
+  second: protocol.operatorApi.BurnBucket,
+): protocol.operatorApi.BurnBucket {
+  return {
+    ...second,
+    good: first.good + second.good,
+    late: first.late + second.late,
+    failed: first.failed + second.failed,
+    refused: first.refused + second.refused,
+    p99Ms: Math.max(first.p99Ms, second.p99Ms),
+  }
+}
+
+function countAll(bucket: protocol.operatorApi.BurnBucket): number {
+  return bucket.good + bucket.late + bucket.failed + bucket.refused
+}
+
 /** Computes the report. */
 export function computeReport(
   answers: readonly protocol.operatorApi.BurnAnswer[],
--- a/packages/daemon/src/role.ts
+++ b/packages/daemon/src/role.ts
@@ -31,24 +31,17 @@
   logger: telemetry.Logger,
 ): Promise<Role> {
   switch (resolved.role) {
-    case 'entry':
-      return createFrom(await import('@ebonyweir/entry'), 'createEntry', resolved, logger)
-    case 'agent':
-      return createFrom(await import('@ebonyweir/agent'), 'createAgent', resolved, logger)
-    case 'control':
-      return createFrom(await import('@ebonyweir/control'), 'createControl', resolved, logger)
+    case 'entry': {
+      const entry = await import('@ebonyweir/entry')
+      return entry.createEntry({ ...resolved, logger })
+    }
+    case 'agent': {
+      const agent = await import('@ebonyweir/agent')
+      return agent.createAgent({ ...resolved, logger })
+    }
+    case 'control': {
+      const control = await import('@ebonyweir/control')
+      return control.createControl({ ...resolved, logger })
+    }
   }
 }
-
-type RoleFactory = (options: Readonly<Record<string, unknown>>) => Role
-
-function createFrom(
-  module: object,
-  factoryName: string,
-  resolved: settings.Settings,
-  logger: telemetry.Logger,
-): Role {
-  const factory = (module as Readonly<Record<string, RoleFactory | undefined>>)[factoryName]
-  if (factory === undefined) throw new Error(`the role's package does not export ${factoryName}`)
-  return factory({ ...resolved, logger })
-}
