--- a/packages/cli/src/commands/members.ts
+++ b/packages/cli/src/commands/members.ts
@@ -226,7 +226,7 @@
     member.failureDomain,
     member.leader ? 'leader' : member.voter ? 'voter' : 'catching up',
     `${member.syncedIndex} of ${answer.commitIndex}`,
-    member.lastAnswerAgeMs < 0 ? 'none' : `${member.lastAnswerAgeMs} ms ago`,
+    member.lastAnswerAgeMs < 0 ? 'none' : `${Math.round(member.lastAnswerAgeMs)} ms ago`,
   ])
   const head = ['id', 'address', 'failure domain', 'state', 'synced', 'last answer']
   const repaired = answer.repaired ? 'repaired\n' : `not repaired: ${answer.missing}\n`
--- a/packages/control/src/replies.ts
+++ b/packages/control/src/replies.ts
@@ -30,7 +30,7 @@
     case 'overloaded':
       return refusal(503, {
         error: 'overloaded',
-        detail: `${error.waitingBytes} bytes of commands wait for commitment; try again later`,
+        detail: `${error.detail}; try again later`,
         outcome: 'not-run',
       })
     case 'too-large':
--- a/scripts/quickstart.mjs
+++ b/scripts/quickstart.mjs
@@ -58,7 +58,13 @@
   const answer = await globalThis.fetch(url, { signal: globalThis.AbortSignal.timeout(10_000) })
   const body = await answer.text()
   const outcome = answer.headers.get('ebonyweir-outcome')
-  return { url, status: answer.status, outcome, body, tookMs: perfHooks.performance.now() - startedMs }
+  return {
+    url,
+    status: answer.status,
+    outcome,
+    body,
+    tookMs: perfHooks.performance.now() - startedMs,
+  }
 }
 
 const showQuote = (answer) => {
--- a/scripts/quickstart/processes.mjs
+++ b/scripts/quickstart/processes.mjs
@@ -32,7 +32,8 @@
   for (;;) {
     const value = await probe()
     if (value !== undefined && value !== false) return value
-    if (perfHooks.performance.now() > untilMs) throw new Error(`not reached in ${deadlineMs} ms: ${what}`)
+    if (perfHooks.performance.now() > untilMs)
+      throw new Error(`not reached in ${deadlineMs} ms: ${what}`)
     await timers.setTimeout(POLL_INTERVAL_MS)
   }
 }
