feat(entry): fault, claim and refusal tests with real sockets; burn in the shared form

Cause: the mechanisms of the request path had no test with real connections; a request fenced by Resolve was not retried when its agent was the only one.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -70,6 +70,7 @@
   let grpcServer: grpc.Server | undefined
   let httpServer: http.Server | undefined
   let ticker: NodeJS.Timeout | undefined
+  let idle = true
   let sync: configSync.ConfigSync | undefined
 
   const now = (): number => performance.now()
@@ -116,6 +117,7 @@
     load: () => executionState.loadReport(state, now()),
     begin: (request) => {
       if (!state.active.has(request.requestId)) payloads.set(request.requestId, request)
+      if (idle) scheduleTick(false)
     },
   })
 
@@ -125,7 +127,13 @@
       if (!state.active.has(requestId)) payloads.delete(requestId)
     }
     client.keep(new Set(state.endpoints.keys()))
-    ticker = setTimeout(tick, state.active.size === 0 ? IDLE_TICK_MS : TICK_MS)
+    scheduleTick(state.active.size === 0)
+  }
+
+  const scheduleTick = (isIdle: boolean): void => {
+    idle = isIdle
+    clearTimeout(ticker)
+    ticker = setTimeout(tick, isIdle ? IDLE_TICK_MS : TICK_MS)
   }
 
   const announce = (announcement: execution.Announcement): string => {
--- a/packages/control-client/src/configView.ts
+++ b/packages/control-client/src/configView.ts
@@ -21,6 +21,7 @@
   readonly epoch: () => number
   readonly rule: (key: string) => protocol.common.RuleRecord | undefined
   readonly service: (name: string) => servicePolicy.ServicePolicy | undefined
+  readonly services: () => readonly servicePolicy.ServicePolicy[]
   /** The rule that takes a failure domain out, or undefined when it is in service. */
   readonly outRule: (failureDomain: string) => protocol.common.RuleRecord | undefined
 }
@@ -45,7 +46,8 @@
     forget(rule.key)
     rules.set(rule.key, rule)
     const [kind, name] = servicePolicy.splitKey(rule.key)
-    if (kind === 'service') services.set(name, servicePolicy.readServicePolicy(name, rule))
+    const policy = kind === 'service' ? servicePolicy.readServicePolicy(rule) : undefined
+    if (policy !== undefined) services.set(name, policy)
     if (kind === 'failureDomain' && servicePolicy.takesOut(rule)) out.set(name, rule)
   }
 
@@ -73,6 +75,7 @@
     epoch: () => epoch,
     rule: (key) => rules.get(key),
     service: (name) => services.get(name),
+    services: () => [...services.values()],
     outRule: (failureDomain) => out.get(failureDomain),
   }
 }
--- a/packages/entry/__tests__/cell.ts
+++ b/packages/entry/__tests__/cell.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net'
 import * as agent from '@ebonyweir/agent'
 import * as entry from '@ebonyweir/entry'
+import * as standIns from '@ebonyweir/stand-ins'
 import * as undici from 'undici'
 import * as standInControl from '../../control-client/__tests__/standInControl.js'
 
@@ -90,6 +91,11 @@
     name: string,
     options?: Partial<agent.AgentOptions>,
   ) => Promise<TestEndpoint>
+  /** Adds an endpoint whose agent is reached through a relay. */
+  readonly addBehindRelay: (name: string) => Promise<{
+    readonly endpoint: TestEndpoint
+    readonly relay: standIns.relay.Relay
+  }>
   readonly agents: Map<string, TestAgent>
   readonly addEntry: (name: string, options?: Partial<entry.EntryOptions>) => Promise<string>
   readonly entries: entry.entry.Entry[]
@@ -98,7 +104,7 @@
 
 export const SERVICE_RULE = standInControl.rule(
   'service.swap-desk',
-  '{ slots = 8, connections = 64, queue = 64, timeoutMs = 2000, targetMs = 80 }',
+  '{ runners = 2, slots = 8, connections = 64, queue = 64, timeoutMs = 2000, targetMs = 80, objective = 0.99, cpuMillis = 1000, memoryMb = 64 }',
   3,
   'Maëlle Kerjean',
 )
@@ -123,6 +129,7 @@
   const agents = new Map<string, TestAgent>()
   const endpoints: TestEndpoint[] = []
   const entries: entry.entry.Entry[] = []
+  const relays: standIns.relay.Relay[] = []
   const common = { cell: 'rennes-1', failureDomain: 'rennes', syncIntervalMs: 100 }
 
   const addEndpoint: Cell['addEndpoint'] = async (name, options = {}) => {
@@ -153,6 +160,14 @@
     return endpoint
   }
 
+  const addBehindRelay: Cell['addBehindRelay'] = async (name) => {
+    const relay = await standIns.relay.createRelay({ target: '127.0.0.1:1' })
+    relays.push(relay)
+    const endpoint = await addEndpoint(name, { advertisedAddress: relay.address })
+    relay.retarget(agents.get(name)?.addresses.grpcAddress ?? '')
+    return { endpoint, relay }
+  }
+
   const addEntry: Cell['addEntry'] = async (name, options = {}) => {
     const created = entry.createEntry({
       ...common,
@@ -174,11 +189,13 @@
     agents,
     entries,
     addEndpoint,
+    addBehindRelay,
     addEntry,
     close: async () => {
       for (const { stopAnnouncing } of agents.values()) stopAnnouncing()
       await Promise.all(entries.map(async (created) => created.stop()))
       for (const endpoint of endpoints) endpoint.close()
+      for (const relay of relays) relay.close()
       await Promise.all([...agents.values()].map(async (held) => held.agent.stop()))
       control.close()
     },
--- /dev/null
+++ b/packages/entry/__tests__/claims.spec.ts
@@ -0,0 +1,96 @@
+import * as vitest from 'vitest'
+import * as cells from './cell.js'
+
+const { afterEach, beforeEach, describe, expect, test } = vitest
+
+const keyed = (key: string, body = 'swap', timeoutMs = 5_000) => ({
+  body,
+  headers: {
+    'idempotency-key': key,
+    'ebonyweir-caller': 'counter',
+    'ebonyweir-timeout-ms': `${timeoutMs}`,
+  },
+})
+
+describe('requests with an idempotency key', () => {
+  let cell: cells.Cell
+  let endpoint: cells.TestEndpoint
+  let first: string
+  let second: string
+
+  beforeEach(async () => {
+    cell = await cells.startCell()
+    endpoint = await cell.addEndpoint('counter-1', { retainedBytes: 1_000 })
+    first = await cell.addEntry('entry-1')
+    second = await cell.addEntry('entry-2')
+    await cells.untilServing(first)
+    await cells.untilServing(second)
+    endpoint.ran.length = 0
+  })
+
+  afterEach(async () => {
+    await cell.close()
+  })
+
+  const settled = async (): Promise<void> =>
+    cells.until(() => [...cell.control.claims.values()].every((c) => c.settled !== undefined))
+
+  // Guards against a second run when the caller resends through another entry instance.
+  test('a resend gets the finished answer from the agent', async () => {
+    const answered = await cells.call(first, keyed('k'))
+    await settled()
+    const resent = await cells.call(second, keyed('k'))
+    expect([answered.outcome, resent.outcome]).toEqual(['answered', 'answered'])
+    expect(resent.body.toString()).toBe('swap')
+    expect(endpoint.ran.length).toBe(1)
+  })
+
+  // Guards against an answer that is made up once the real one is gone.
+  test('a resend after the answer is gone gets the recorded status', async () => {
+    await cells.call(first, keyed('k', 'x'.repeat(900)))
+    await cells.call(first, keyed('other', 'x'.repeat(900)))
+    await settled()
+    const resent = await cells.call(second, keyed('k', 'x'.repeat(900)))
+    expect([resent.status, resent.outcome, resent.error.status]).toEqual([409, 'answered', 200])
+    expect(endpoint.ran.length).toBe(2)
+  })
+
+  // Guards against two runs of one key at the same time, and against a key used for other work.
+  test('a resend while the first runs is refused; another body is a mismatch', async () => {
+    endpoint.delayMs = 300
+    const running = cells.call(first, keyed('k'))
+    await cells.until(() => endpoint.running === 1)
+    const resent = await cells.call(second, keyed('k'))
+    const other = await cells.call(second, keyed('k', 'other'))
+    expect([resent.status, resent.outcome]).toEqual([409, 'unknown'])
+    expect([other.status, other.outcome]).toEqual([422, 'not-run'])
+    expect((await running).outcome).toBe('answered')
+    expect(endpoint.ran.length).toBe(1)
+  })
+
+  // Guards against a key that stays blocked after the answer to the claim was lost.
+  test('a claim whose answer is lost is freed', async () => {
+    cell.control.loseClaimReplies = true
+    const refused = await cells.call(first, keyed('k'))
+    cell.control.loseClaimReplies = false
+    await settled()
+    const resent = await cells.call(second, keyed('k'))
+    expect([refused.status, refused.outcome]).toEqual([503, 'not-run'])
+    expect(resent.outcome).toBe('answered')
+    expect(endpoint.ran.length).toBe(1)
+  })
+
+  // Guards against a keyed request that is abandoned with its caller, whose resend then never ends.
+  test('a caller that closes its connection gets the answer with a resend', async () => {
+    endpoint.delayMs = 300
+    const controller = new AbortController()
+    const gone = cells.call(first, { ...keyed('k'), signal: controller.signal })
+    await cells.until(() => endpoint.running === 1)
+    controller.abort()
+    await expect(gone).rejects.toThrow()
+    await settled()
+    const resent = await cells.call(second, keyed('k'))
+    expect(resent.body.toString()).toBe('swap')
+    expect(endpoint.ran.length).toBe(1)
+  })
+})
--- /dev/null
+++ b/packages/entry/__tests__/refusals.spec.ts
@@ -0,0 +1,178 @@
+import * as net from 'node:net'
+import * as vitest from 'vitest'
+import * as cells from './cell.js'
+
+const { afterAll, beforeAll, beforeEach, describe, expect, test } = vitest
+
+/** Sends bytes on a connection of its own and returns what came back until it closed. */
+const sendRaw = async (address: string, text: string, cutAfterMs: number): Promise<string> => {
+  const [host, port] = address.split(':')
+  const socket = net.connect(Number(port), host)
+  let received = ''
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString()
+  })
+  socket.on('error', () => undefined)
+  socket.write(text)
+  const closed = new Promise<void>((resolve) => {
+    socket.on('close', () => {
+      resolve()
+    })
+  })
+  if (cutAfterMs > 0) {
+    await cells.pause(cutAfterMs)
+    socket.destroy()
+  }
+  await closed
+  return received
+}
+
+describe('limits and refusals', () => {
+  let cell: cells.Cell
+  let endpoint: cells.TestEndpoint
+  let address: string
+
+  beforeAll(async () => {
+    cell = await cells.startCell()
+    endpoint = await cell.addEndpoint('counter-1', { maxAnswerBytes: 64 * 1024 })
+    address = await cell.addEntry('entry-1')
+    await cells.untilServing(address)
+  })
+
+  beforeEach(() => {
+    endpoint.ran.length = 0
+  })
+
+  afterAll(async () => {
+    await cell.close()
+  })
+
+  type Call = Parameters<typeof cells.call>[1]
+  const cases: readonly (readonly [string, Call, number, string])[] = [
+    ['a body above the limit', { body: Buffer.alloc(1024 * 1024 + 1) }, 413, 'body-too-large'],
+    ['an unknown service', { path: '/services/none/x' }, 404, 'unknown-service'],
+    ['a path outside of /services', { path: '/x' }, 404, 'bad-request'],
+    ['a bad deadline', { headers: { 'ebonyweir-timeout-ms': '0' } }, 400, 'bad-request'],
+    ['a bad flag', { headers: { 'ebonyweir-idempotent': 'yes' } }, 400, 'bad-request'],
+    ['a long key', { headers: { 'idempotency-key': 'k'.repeat(256) } }, 400, 'bad-request'],
+    ['headers above the limit', { headers: { x: 'x'.repeat(17_000) } }, 431, 'bad-request'],
+  ]
+
+  // Guards against requests that are dispatched although the caller is told that they were refused.
+  test.each(cases)('%s is refused and does not run', async (_name, options, status, error) => {
+    const reply = await cells.call(address, options)
+    expect([reply.status, reply.error.error, reply.outcome]).toEqual([status, error, 'not-run'])
+    expect(endpoint.ran).toEqual([])
+  })
+
+  // Guards against a truncated request that looks whole to the endpoint.
+  test('a request that is cut in its body does not run', async () => {
+    const head = 'POST /services/swap-desk/quote HTTP/1.1\r\nhost: a\r\n'
+    await sendRaw(address, `${head}content-length: 100\r\n\r\nhalf`, 100)
+    await sendRaw(address, `${head}transfer-encoding: chunked\r\n\r\n64\r\nhalf`, 100)
+    expect(endpoint.ran).toEqual([])
+  })
+
+  const bad: readonly (readonly [string, cells.TestEndpoint['respond'], string])[] = [
+    [
+      'cut after its headers',
+      (_request, response) => {
+        response.writeHead(200, { 'content-length': 100 })
+        response.write('half')
+        setTimeout(() => response.destroy(), 20)
+      },
+      'the answer was cut',
+    ],
+    [
+      'cut between chunks',
+      (_request, response) => {
+        response.writeHead(200)
+        response.write('half')
+        setTimeout(() => response.destroy(), 20)
+      },
+      'the answer was cut',
+    ],
+    [
+      'without length or chunks',
+      (_request, response) => {
+        response.socket?.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf')
+      },
+      'neither content-length',
+    ],
+    [
+      'too large',
+      (_request, response) => {
+        response.end(Buffer.alloc(65 * 1024))
+      },
+      'larger than',
+    ],
+    [
+      'that never came because the endpoint closed the connection',
+      (_request, response) => {
+        response.destroy()
+      },
+      'endpoint failed',
+    ],
+  ]
+
+  // Guards against half an answer that is handed to the caller as a whole one.
+  test.each(bad)('an answer %s is unknown', async (_name, respond, detail) => {
+    const before = endpoint.respond
+    endpoint.respond = respond
+    const reply = await cells.call(address, { body: 'x' })
+    endpoint.respond = before
+    expect([reply.status, reply.outcome]).toEqual([502, 'unknown'])
+    expect(reply.error.detail).toContain(detail)
+    expect(endpoint.ran.length).toBe(1)
+  })
+
+  // Guards against more work at the endpoint than it announced slots and connections for.
+  test('slots and connections of the endpoint are kept', async () => {
+    endpoint.delayMs = 30
+    const second = await cell.addEntry('entry-2')
+    await cells.untilServing(second)
+    endpoint.maxRunning = 0
+    const calls = Array.from({ length: 48 }, async (_, i) =>
+      cells.call(i % 2 === 0 ? address : second, { body: `${i}` }),
+    )
+    const replies = await Promise.all(calls)
+    endpoint.delayMs = 0
+    expect(replies.filter((r) => r.outcome === 'answered').length).toBeGreaterThan(24)
+    expect(replies.filter((r) => r.outcome === 'unknown')).toEqual([])
+    expect(endpoint.maxRunning).toBe(8)
+    expect(endpoint.maxConnections).toBeLessThanOrEqual(64)
+  })
+
+  // Guards against a deadline that is not carried to the endpoint's side.
+  test('a deadline that passes at the endpoint is answered in time', async () => {
+    endpoint.delayMs = 600
+    const headers = { 'ebonyweir-timeout-ms': '150' }
+    const reply = await cells.call(address, { body: 'x', headers })
+    const stillRunning = endpoint.running
+    await cells.pause(600)
+    endpoint.delayMs = 0
+    expect([reply.status, reply.outcome]).toEqual([504, 'unknown'])
+    expect(reply.error.rule).toEqual({ line: 3, requestedBy: 'Maëlle Kerjean' })
+    expect(stillRunning).toBe(1)
+  })
+
+  // Guards against work for callers that are gone.
+  test('a queued request of a caller that closed its connection does not run', async () => {
+    endpoint.delayMs = 300
+    const running = Array.from({ length: 20 }, async () => cells.call(address, { body: 'x' }))
+    await cells.until(() => endpoint.running === 8)
+    const controller = new AbortController()
+    const gone = cells.call(address, { body: 'gone', signal: controller.signal })
+    const bodies: string[] = []
+    endpoint.respond = (_request, response, body) => {
+      bodies.push(body.toString())
+      response.end(body)
+    }
+    await cells.pause(50)
+    controller.abort()
+    await expect(gone).rejects.toThrow()
+    await Promise.all(running)
+    endpoint.delayMs = 0
+    expect(bodies).not.toContain('gone')
+  })
+})
--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -25,6 +25,8 @@
 /** Attempts of one request, hedges included. */
 const MAX_ATTEMPTS = 4
 const RESOLVE_POLL_MS = 25
+/** Longest wait for a connection to come back. */
+const RECONNECT_WAIT_MS = 1_000
 
 const { Outcome, RefusalReason, ResolveState } = protocol.agent
 
@@ -82,7 +84,7 @@
   const tried = new Set<string>()
   let attempts = 0
   const executions = new Set<agentConnection.Execution>()
-  const progress = { finished: false, mayHaveRun: false }
+  const progress = { finished: false, mayHaveRun: false, fenced: false }
 
   const now = (): number => performance.now()
   const leftMs = (): number => request.deadlineMs - now()
@@ -140,7 +142,11 @@
     return serviceRequest.unknown('endpoint-failed', detail)
   }
 
-  const exchange = async (location: directory.EndpointLocation): Promise<Result> => {
+  const exchange = async (
+    endpointId: string,
+    location: directory.EndpointLocation,
+  ): Promise<Result> => {
+    progress.fenced = false
     const requestId = attemptId()
     const message = outgoing(requestId, location.endpoint)
     const execution = location.connection.execute(message, leftMs())
@@ -155,7 +161,11 @@
     if (request.idempotent || request.cancelled.aborted) {
       return serviceRequest.unknown('endpoint-failed', reply.error.detail)
     }
-    return resolve(requestId, location, execution.incarnation)
+    const resolved = await resolve(requestId, location, execution.incarnation)
+    progress.fenced = resolved.kind === 'failure' && resolved.outcome === 'not-run'
+    // The endpoint itself did nothing wrong; a new request id may run there.
+    if (progress.fenced && request.key === '') tried.delete(endpointId)
+    return resolved
   }
 
   const attempt = async (endpointId: string): Promise<Result> => {
@@ -166,7 +176,7 @@
     const result: Result =
       location === undefined
         ? serviceRequest.notRun('no-endpoint', 'the endpoint left')
-        : await exchange(location)
+        : await exchange(endpointId, location)
     const failed = result.kind === 'failure'
     if (failed && result.outcome !== 'not-run') progress.mayHaveRun = true
     router.ended(endpointId, { failed, tookMs: now() - startedAtMs }, now())
@@ -183,11 +193,22 @@
     return undefined
   }
 
+  // A lost connection is back within a probe interval or two.
+  const waitForEndpoint = async (): Promise<string | undefined> => {
+    const untilMs = Math.min(now() + RECONNECT_WAIT_MS, request.deadlineMs)
+    let next = nextEndpoint(false)
+    while (next === undefined && now() < untilMs && !request.cancelled.aborted) {
+      await pause(RESOLVE_POLL_MS)
+      next = nextEndpoint(false)
+    }
+    return next
+  }
+
   const withRetries = async (endpointId: string): Promise<Result> => {
     let result = await attempt(endpointId)
     while (result.kind === 'failure') {
       if (result.outcome !== 'not-run' && !request.idempotent) return result
-      const next = nextEndpoint(false)
+      const next = progress.fenced ? await waitForEndpoint() : nextEndpoint(false)
       if (next === undefined) return result
       host.onRetry()
       result = await attempt(next)
@@ -218,9 +239,12 @@
   progress.finished = true
   request.cancelled.removeEventListener('abort', cancelAll)
   cancelAll()
-  if (result.kind === 'answer' || !progress.mayHaveRun) return result
+  if (result.kind === 'answer') return result
   // One attempt that may have run makes the whole request undecided.
-  return { ...result, outcome: 'unknown' }
+  const outcome = progress.mayHaveRun ? 'unknown' : 'not-run'
+  const late = leftMs() <= 0 && !request.cancelled.aborted
+  const rule = late ? `service.${request.service}` : result.rule
+  return { ...result, outcome, rule, reason: late ? 'deadline' : result.reason }
 }
 
 // Resolves with the first answer, or with the failure of the first attempt when both fail.
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,6 +15,7 @@
 import * as serviceBuckets from './serviceBuckets.js'
 import * as serviceRequest from './serviceRequest.js'
 import * as services from './services.js'
+import * as statusRoutes from './statusRoutes.js'
 
 type Request = serviceRequest.ServiceRequest
 type Result = serviceRequest.RequestResult
@@ -222,7 +223,7 @@
       ...head,
       requestId,
       policy,
-      weight: policy.callerWeights.get(head.caller) ?? 1,
+      weight: 1,
       deadlineMs: arrivedAtMs + timeoutMs,
       body: body.value,
       arrivedAtMs,
@@ -264,44 +265,28 @@
     }
   }
 
-  const notReady = (): string => {
-    if (closing) return 'shutting down'
-    if (!view.inForce(now())) return 'no valid configuration from control'
-    const rule = view.outRule(resolved.failureDomain)
-    if (rule === undefined) return ''
-    return `failure domain ${resolved.failureDomain} is out by line ${rule.line} (${rule.requestedBy})`
-  }
-
-  const sendJson = (response: http.ServerResponse, status: number, body: unknown): void => {
-    response.writeHead(status, { 'content-type': 'application/json' })
-    response.end(JSON.stringify(body))
-  }
-
-  const sendMetrics = async (response: http.ServerResponse): Promise<void> => {
-    const body = await meters.render({
-      requests,
-      queued: routed.queued(),
-      bufferedBytes: bodies.heldBytes(),
-      agents: known.agents(),
-      revision: view.revision(),
-    })
-    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' })
-    response.end(body)
-  }
+  const status = statusRoutes.createStatusRoutes({
+    cell: resolved.cell,
+    name: resolved.name,
+    failureDomain: resolved.failureDomain,
+    view,
+    buckets,
+    closing: () => closing,
+    metrics: async () =>
+      meters.render({
+        requests,
+        queued: routed.queued(),
+        bufferedBytes: bodies.heldBytes(),
+        agents: known.agents(),
+        revision: view.revision(),
+      }),
+  })
 
   const route = async (
     message: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> => {
-    const path = (message.url ?? '').split('?')[0] ?? ''
-    if (path === '/healthz') sendJson(response, closing ? 503 : 200, { healthy: !closing })
-    else if (path === '/readyz') {
-      const reason = notReady()
-      sendJson(response, reason === '' ? 200 : 503, { ready: reason === '', reason })
-    } else if (path === '/metrics') await sendMetrics(response)
-    else if (path === '/v1/burn') {
-      sendJson(response, 200, { buckets: buckets.closed(Date.now()) })
-    } else await serve(message, response)
+    if (!(await status.serve(message, response))) await serve(message, response)
   }
 
   const server = http.createServer({
