feat(settings): advertisedAddress of an agent

Cause: an agent behind a forwarder has another address for its entries than the one it binds; the fault tests put a relay there.

Change: optional field advertisedAddress in the settings of agents; an empty text means grpcAddress.

--- a/packages/agent/src/options.ts
+++ b/packages/agent/src/options.ts
@@ -42,5 +42,6 @@
   syncIntervalMs: 1_000,
   logger: controlClient.logger.silentLogger,
   ...options,
-  advertisedAddress: options.advertisedAddress,
+  // The settings file has an empty text where no other address is wanted.
+  advertisedAddress: options.advertisedAddress === '' ? undefined : options.advertisedAddress,
 })
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -81,6 +81,12 @@
 export const agentFields = {
   ...commonFields,
   grpcAddress: listenAddress('Address for entries.'),
+  advertisedAddress: fields.text({
+    form: 'an address such as "10.0.0.1:7000", or an empty text',
+    doc: 'Address at which entries reach the agent, where it differs from grpcAddress.',
+    fallback: '',
+    accepts: (value) => value === '' || addresses.isPeerAddress(value),
+  }),
   httpAddress: listenAddress(
     'Address for the endpoints of the instance, health checks and metrics.',
   ),
