--- /dev/null
+++ b/packages/stand-ins/__tests__/faults/leaving.spec.ts
@@ -0,0 +1,99 @@
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+import * as support from './support.js'
+
+const { describe, expect, test } = vitest
+const { sleep } = standIns.waiting
+
+const LOAD = { service: 'desk', ratePerSecond: 40, durationMs: 9_000 }
+
+describe('endpoints and processes that leave', () => {
+  interface LeaveCase {
+    readonly name: string
+    readonly change: object
+  }
+  const leaveCases: readonly LeaveCase[] = [
+    { name: 'an endpoint announces that it leaves', change: { leaving: true } },
+    {
+      name: 'an endpoint leaves and its announcements are lost',
+      change: { leaving: true, announces: false },
+    },
+  ]
+
+  // Guards against work that is sent to an endpoint which asked for no more.
+  test.each(leaveCases)(
+    '$name during load: no new work after its bound, none is cut',
+    async ({ change }) => {
+      const result = await support.auditRun(
+        { entries: 2, agents: 2 },
+        async (system) => {
+          const [leaving] = await support.startEndpoints(system, { serviceTimeMs: 50 })
+          const caller = system.createCaller('counter')
+          const load = caller.load(LOAD)
+          await sleep(2000)
+          await leaving?.ask('PUT', '/behaviour', change)
+          expect((await load).answered).toBeGreaterThan(LOAD.ratePerSecond * 6)
+        },
+        { gracefulOnly: true },
+      )
+      support.expectKept(result, 'leaving', 'executionStarted')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  interface ShutdownCase {
+    readonly name: string
+    readonly process: (system: support.System) => Promise<standIns.managedProcess.ManagedProcess>
+    readonly entries: number
+  }
+  const shutdownCases: readonly ShutdownCase[] = [
+    {
+      name: 'an entry',
+      entries: 1,
+      process: (system) => Promise.resolve(must(system.entries[0]).process()),
+    },
+    {
+      name: 'an agent',
+      entries: 2,
+      process: (system) => Promise.resolve(must(system.agents[0]).process()),
+    },
+    {
+      name: 'the control leader',
+      entries: 2,
+      process: async (system) => (await system.leader()).process(),
+    },
+  ]
+
+  // Guards against a shutdown that cuts requests in progress, and one that never ends.
+  test.each(shutdownCases)(
+    'SIGTERM of $name with requests in progress: none is cut',
+    async ({ process, entries }) => {
+      const result = await support.auditRun(
+        { entries, agents: 2 },
+        async (system) => {
+          await support.startEndpoints(system, { serviceTimeMs: 600 })
+          const caller = system.createCaller('counter')
+          const loads = Promise.all([
+            caller.load({ ...LOAD, ratePerSecond: 4, durationMs: 6000 }),
+            caller.load({ ...LOAD, ratePerSecond: 4, durationMs: 6000, keyed: true }),
+          ])
+          await sleep(2000)
+          const leaving = await process(system)
+          leaving.signal('SIGTERM')
+          expect(await leaving.exited).toBe(0)
+          const [plain, keyed] = await loads
+          expect(plain.answered).toBeGreaterThan(0)
+          expect(keyed.answered).toBeGreaterThan(0)
+        },
+        { gracefulOnly: true },
+      )
+      support.expectKept(result, 'processSignalled', 'executionStarted')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+})
+
+const must = <T>(value: T | undefined): T => {
+  if (value === undefined) throw new Error('the system lacks a process')
+  return value
+}
--- /dev/null
+++ b/packages/stand-ins/__tests__/faults/requests.spec.ts
@@ -0,0 +1,215 @@
+import * as vitest from 'vitest'
+import * as standIns from '@ebonyweir/stand-ins'
+import * as support from './support.js'
+
+const { describe, expect, test } = vitest
+const { sleep } = standIns.waiting
+
+const LOAD_MS = 8_000
+
+interface Fault {
+  readonly name: string
+  readonly flags?: standIns.systemProcess.StandInFlags
+  readonly fault: (
+    system: support.System,
+    endpoints: readonly standIns.systemProcess.StandIn[],
+  ) => Promise<void>
+}
+
+const first = <T>(values: readonly T[]): T => {
+  const value = values[0]
+  if (value === undefined) throw new Error('the system lacks a process')
+  return value
+}
+
+const faults: readonly Fault[] = [
+  {
+    name: 'slow, disordered and cut answers',
+    flags: { cutEvery: 7, slowEvery: 11, slowMs: 4000, jitterMs: 80, paddingBytes: 200_000 },
+    fault: () => Promise.resolve(),
+  },
+  {
+    name: 'an endpoint is killed',
+    flags: { serviceTimeMs: 60 },
+    fault: async (_system, endpoints) => {
+      await first(endpoints).process().kill()
+    },
+  },
+  {
+    name: 'an agent is killed and restarted',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      await first(system.agents).process().kill()
+      await first(system.agents).restart()
+    },
+  },
+  {
+    name: 'an agent freezes and resumes',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      first(system.agents).process().signal('SIGSTOP')
+      await sleep(3500)
+      first(system.agents).process().signal('SIGCONT')
+    },
+  },
+  {
+    name: 'an endpoint freezes and resumes',
+    flags: { serviceTimeMs: 60 },
+    fault: async (_system, endpoints) => {
+      first(endpoints).process().signal('SIGSTOP')
+      await sleep(3500)
+      first(endpoints).process().signal('SIGCONT')
+    },
+  },
+  {
+    name: 'the connections to one agent go silent while new ones work',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      for (let i = 0; i < 3; i++) {
+        first(system.agents).grpcRelay.change({ action: 'drop', scope: 'old' })
+        await sleep(1500)
+      }
+    },
+  },
+  {
+    name: 'answers of one agent are lost silently',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      const { grpcRelay } = first(system.agents)
+      grpcRelay.change({ action: 'drop', direction: 'toClient' })
+      await sleep(3500)
+      grpcRelay.change({ action: 'pass' })
+    },
+  },
+  {
+    name: 'requests to one agent are held and arrive seconds late',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      const { grpcRelay } = first(system.agents)
+      grpcRelay.change({ action: 'hold', direction: 'toTarget' })
+      await sleep(3500)
+      grpcRelay.change({ action: 'pass' })
+    },
+  },
+  {
+    name: 'one agent is cut off both ways',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      const { grpcRelay } = first(system.agents)
+      grpcRelay.change({ action: 'drop' })
+      await sleep(3500)
+      grpcRelay.change({ action: 'pass' })
+    },
+  },
+]
+
+describe('requests under faults', () => {
+  // Guards against a request that runs twice, an answer that is cut or another's, and a false "not run".
+  test.each(faults)(
+    '$name: every answer is whole and its own, "not run" is true, nothing runs twice',
+    async ({ flags, fault }) => {
+      const result = await support.auditRun({ entries: 2, agents: 3 }, async (system) => {
+        const endpoints = await support.startEndpoints(system, flags)
+        const caller = system.createCaller('counter', { giveUpMs: 15_000 })
+        const load = { service: 'desk', ratePerSecond: 25, durationMs: LOAD_MS }
+        const loads = Promise.all([
+          caller.load({ ...load, method: 'POST' }),
+          caller.load({ ...load, method: 'POST', keyed: true }),
+          caller.load({ ...load, method: 'GET' }),
+        ])
+        await sleep(1500)
+        await fault(system, endpoints)
+        const counts = await loads
+        for (const count of counts) {
+          expect(count.answered).toBeGreaterThan(count.sent / 3)
+          expect(count.broken).toBe(0)
+        }
+      })
+      support.expectKept(result, 'requestAnswered', 'executionStarted')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  // Guards against a truncated request body that looks whole.
+  test(
+    'bodies cut by the caller reach no endpoint',
+    async () => {
+      const result = await support.auditRun({ entries: 1, agents: 1 }, async (system) => {
+        await support.startEndpoints(system)
+        const caller = system.createCaller('counter')
+        const cut = { service: 'desk', bodyBytes: 100_000 }
+        await Promise.all(Array.from({ length: 20 }, () => caller.sendCutBody(cut)))
+        expect(await caller.send(cut)).toMatchObject({ status: 200, matched: true })
+        await sleep(1000)
+      })
+      support.expectKept(result, 'requestBroken', 'executionStarted')
+      expect(result.counts.requestBroken).toBe(20)
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+
+  interface ResendCase {
+    readonly name: string
+    readonly fault: (system: support.System) => void
+  }
+  const resendCases: readonly ResendCase[] = [
+    {
+      name: 'the entry is killed',
+      fault: (system) => {
+        first(system.entries).process().signal('SIGKILL')
+      },
+    },
+    {
+      name: 'the entry and the leader are killed',
+      fault: (system) => {
+        first(system.entries).process().signal('SIGKILL')
+        void system.leader().then((leader) => {
+          leader.process().signal('SIGKILL')
+        })
+      },
+    },
+    {
+      name: 'the entry freezes',
+      fault: (system) => {
+        first(system.entries).process().signal('SIGSTOP')
+      },
+    },
+  ]
+
+  // Guards against a resend with the same key that runs the work again at another entry.
+  test.each(resendCases)(
+    '$name with keyed requests in progress: resends through the other entry run nothing twice',
+    async ({ fault }) => {
+      const result = await support.auditRun({ entries: 2, agents: 3 }, async (system) => {
+        await support.startEndpoints(system, { serviceTimeMs: 1000 })
+        const caller = system.createCaller('counter', { giveUpMs: 6000 })
+        const [one, two] = system.entries
+        if (one === undefined || two === undefined) throw new Error('two entries expected')
+        const requests = Array.from({ length: 9 }, (_, i) => ({
+          service: 'desk',
+          token: `order-${i}`,
+          key: `order-${i}`,
+          timeoutMs: 3000,
+        }))
+        const started = requests.map((r) => caller.send({ ...r, entry: one.httpAddress }))
+        await sleep(400)
+        fault(system)
+        const resent = requests.map((r) =>
+          standIns.waiting.waitFor('a decided resend', async () => {
+            const answer = await caller.send({ ...r, entry: two.httpAddress })
+            return answer.status === 0 || answer.status === 409 || answer.outcome === 'not-run'
+              ? answer.outcome === 'unknown' || answer.outcome === 'answered'
+                ? answer
+                : undefined
+              : answer
+          }),
+        )
+        const decided = await Promise.all(resent)
+        await Promise.all(started)
+        expect(decided.filter((answer) => answer.status === 200).length).toBeGreaterThan(0)
+      })
+      support.expectKept(result, 'requestSent', 'executionStarted')
+    },
+    support.TEST_TIMEOUT_MS,
+  )
+})
