fix(stand-ins): audit of late ends, balancer's health checks

A caller without the balancer's health checks reused an idle connection of an entry that had closed.

--- a/packages/stand-ins/__tests__/audit.spec.ts
+++ b/packages/stand-ins/__tests__/audit.spec.ts
@@ -132,6 +132,19 @@
     ],
     expected: ['checkpoint'],
   },
+  {
+    name: 'an attempt that was lost and reports its end after the next one started',
+    entries: [
+      [0, 1, up('w1')],
+      [0, 2, up('w2')],
+      [1, 1, start('w1', 't', 1)],
+      [2, 9, signal(1, 'SIGSTOP')],
+      [15_000, 2, start('w2', 't', 2)],
+      [20_000, 1, stop('w1', 't', 1, 2, 'evicted', 'cp:t:1:5')],
+      [20_001, 1, acknowledged('w1', 't', 1)],
+    ],
+    expected: [],
+  },
   {
     name: 'more than the processors',
     entries: [
--- a/packages/stand-ins/src/auditTasks.ts
+++ b/packages/stand-ins/src/auditTasks.ts
@@ -86,11 +86,15 @@
 const evictedBefore = (runs: readonly types.TaskRun[], run: types.TaskRun) =>
   runs.filter((r) => r.attempt < run.attempt && r.stop?.outcome === 'evicted' && r.stop.checkpoint)
 
+/** True if no later attempt had started when this one stopped: its checkpoint is the current one. */
+const wasCurrent = (runs: readonly types.TaskRun[], run: types.TaskRun): boolean =>
+  !runs.some((r) => r.attempt > run.attempt && r.startMs < (run.stop?.atMs ?? Infinity))
+
 const auditCheckpoints = (
   records: Records,
   runs: readonly types.TaskRun[],
 ): readonly types.Finding[] => {
-  const acknowledged = acknowledgedEnds(records, runs)
+  const acknowledged = acknowledgedEnds(records, runs).filter((r) => wasCurrent(runs, r))
   return runs.flatMap((run) => {
     const earlier = evictedBefore(runs, run)
     const floor = evictedBefore(acknowledged, run).at(-1)
--- a/packages/stand-ins/src/fakeCaller.ts
+++ b/packages/stand-ins/src/fakeCaller.ts
@@ -12,6 +12,11 @@
   readonly recorder: record.Recorder
   /** Time after which the caller gives up, in milliseconds. @default 30000 */
   readonly giveUpMs?: number
+  /**
+   * Sends only to entries whose /readyz answers 200, as the platform's balancer does; interval of the
+   * checks in milliseconds, 0 for none. @default 0
+   */
+  readonly healthCheckMs?: number
   /** Connections to one entry. @default 64 */
   readonly connections?: number
 }
@@ -89,6 +94,34 @@
   return typeof value === 'string' ? value : (value?.[0] ?? '')
 }
 
+/** Asks every entry for its readiness; without an interval all count as ready. */
+const createHealthChecks = (entries: readonly string[], intervalMs: number) => {
+  const notReady = new Set<string>()
+  const check = async (entry: string) => {
+    try {
+      const signal = AbortSignal.timeout(1000)
+      const response = await undici.request(`http://${entry}/readyz`, { signal })
+      await response.body.dump()
+      if (response.statusCode === 200) notReady.delete(entry)
+      else notReady.add(entry)
+    } catch {
+      notReady.add(entry)
+    }
+  }
+  const timer =
+    intervalMs === 0
+      ? undefined
+      : setInterval(() => {
+          for (const entry of entries) void check(entry)
+        }, intervalMs)
+  return {
+    isReady: (entry: string): boolean => !notReady.has(entry),
+    close: () => {
+      clearInterval(timer)
+    },
+  }
+}
+
 interface PreparedRequest {
   readonly token: string
   readonly entry: string
@@ -105,9 +138,16 @@
   const { caller, entries, recorder } = options
   const dispatcher = new undici.Agent({ connections: options.connections ?? 64 })
   const sends = new Map<string, number>()
+  const health = createHealthChecks(entries, options.healthCheckMs ?? 0)
   let turn = 0
   let tokens = 0
 
+  const nextEntry = (): string => {
+    const ready = entries.filter(health.isReady)
+    const candidates = ready.length === 0 ? entries : ready
+    return candidates[turn++ % candidates.length] ?? ''
+  }
+
   const prepare = (request: CallerRequest): PreparedRequest => {
     const token = request.token ?? `${caller}-${process.pid}-${tokens++}`
     const method = request.method ?? 'POST'
@@ -128,7 +168,7 @@
       idempotent,
       body,
       headers,
-      entry: request.entry ?? entries[turn++ % entries.length] ?? '',
+      entry: request.entry ?? nextEntry(),
       path: `/services/${request.service}/work?token=${encodeURIComponent(token)}&idempotent=${idempotent}`,
       key: request.key ?? '',
     }
@@ -261,7 +301,11 @@
     return summarise(await Promise.all(pending))
   }
 
-  return { send, sendCutBody, load, close: () => dispatcher.destroy() }
+  const close = async () => {
+    health.close()
+    await dispatcher.destroy()
+  }
+  return { send, sendCutBody, load, close }
 }
 
 const summarise = (results: readonly CallerResult[]): LoadResult => ({
