feat(routing): tests of the request policy; stale reports no longer weigh in the mean

Cause: the policy had no tests, and an old report raised the mean that it faded towards, so that its endpoint was never chosen.

Measured: with each mechanism off in a scratch edit, its test fails; with it on, it passes.

--- a/packages/entry/__tests__/faults.spec.ts
+++ b/packages/entry/__tests__/faults.spec.ts
@@ -197,16 +197,24 @@
       'ebonyweir-caller': caller,
       'ebonyweir-timeout-ms': '30000',
     })
-    const flood = Array.from({ length: 400 }, async () =>
-      cells.call(address, { body: 'f', headers: headers('flood') }),
-    )
+    let stopped = false
+    const floodLoop = async (): Promise<readonly cells.Reply[]> => {
+      const replies: cells.Reply[] = []
+      while (!stopped && replies.length < 200) {
+        replies.push(await cells.call(address, { body: 'f', headers: headers('flood') }))
+      }
+      return replies
+    }
+    const flood = Array.from({ length: 150 }, floodLoop)
     await cells.until(() => endpoint.running === 8)
+    await cells.pause(100)
     const outcomes: string[] = []
     for (let i = 0; i < 10; i++) {
       const reply = await cells.call(address, { body: 'v', headers: headers('counter') })
       outcomes.push(reply.outcome)
     }
-    const flooded = await Promise.all(flood)
+    stopped = true
+    const flooded = (await Promise.all(flood)).flat()
     expect(outcomes).toEqual(outcomes.map(() => 'answered'))
     const refused = flooded.filter((r) => r.outcome === 'not-run')
     expect(refused.length).toBeGreaterThan(0)
--- /dev/null
+++ b/packages/routing/__tests__/routing.spec.ts
@@ -0,0 +1,301 @@
+import * as routing from '@ebonyweir/routing'
+import * as prand from 'pure-rand'
+import * as vitest from 'vitest'
+
+const { describe, expect, test } = vitest
+
+const randomOf = (seed: number): routing.endpoint.Random => {
+  const generator = prand.xoroshiro128plus(seed)
+  return () => prand.unsafeUniformIntDistribution(0, 2 ** 30 - 1, generator) / 2 ** 30
+}
+
+const view = (
+  id: string,
+  change: Partial<routing.endpoint.EndpointView> = {},
+): routing.endpoint.EndpointView => ({
+  id,
+  failureDomain: 'rennes',
+  slots: 8,
+  outstanding: 0,
+  othersReported: 0,
+  reportedAtMs: 0,
+  serviceTimeMs: 10,
+  sinceMs: -Infinity,
+  ejectedUntilMs: 0,
+  ...change,
+})
+
+const shareOf = (
+  choice: routing.choice.EndpointChoice,
+  views: readonly routing.endpoint.EndpointView[],
+  id: string,
+  nowMs = 0,
+): number => {
+  const random = randomOf(7)
+  let chosen = 0
+  for (let i = 0; i < 2_000; i++) {
+    if (choice.choose(views, { nowMs, random, failureDomain: 'rennes' })?.id === id) chosen++
+  }
+  return chosen / 2_000
+}
+
+type Views = readonly routing.endpoint.EndpointView[]
+
+describe('choice of an endpoint', () => {
+  const others = [view('b'), view('c'), view('d')]
+  const cases: readonly (readonly [
+    string,
+    Views,
+    number,
+    Partial<routing.choice.LoadAwareOptions>,
+  ])[] = [
+    ['reported load', [view('a', { othersReported: 8 }), ...others], 0, { reports: false }],
+    ['slow endpoint', [view('a', { serviceTimeMs: 80 }), ...others], 0, { serviceTimes: false }],
+    ['slow start', [view('a', { sinceMs: 0 }), ...others], 500, { slowStartMs: 0 }],
+    [
+      'failure-domain preference',
+      [view('a', { failureDomain: 'brest' }), ...others],
+      0,
+      { remotePenaltyMs: 0 },
+    ],
+    ['two choices', [view('a', { outstanding: 8 }), ...others], 0, { samples: 1 }],
+  ]
+
+  // Guards against a part that has no effect: its endpoint is avoided with it, and not without it.
+  test.each(cases)('%s', (_name, views, nowMs, off) => {
+    expect(shareOf(new routing.choice.LoadAwareChoice(), views, 'a', nowMs)).toBeLessThan(0.1)
+    const without = new routing.choice.LoadAwareChoice(off)
+    expect(shareOf(without, views, 'a', nowMs)).toBeGreaterThan(0.2)
+  })
+
+  // Guards against a report that is believed although it is long out of date.
+  test('a stale report fades towards the mean', () => {
+    const stale = view('a', { othersReported: 8, reportedAtMs: 0 })
+    const fresh = others.map((o, i) => ({ ...o, othersReported: 3 + i, reportedAtMs: 5_000 }))
+    const choice = new routing.choice.LoadAwareChoice()
+    expect(shareOf(choice, [stale, ...fresh], 'a', 5_000)).toBeGreaterThan(0.1)
+    const believing = new routing.choice.LoadAwareChoice({ reportDecayMs: Infinity })
+    expect(shareOf(believing, [stale, ...fresh], 'a', 5_000)).toBe(0)
+  })
+
+  // Guards against an endpoint without a report that counts as idle and gets every request.
+  test('an endpoint without a report counts as loaded as the others', () => {
+    const missing = view('a', { othersReported: undefined, reportedAtMs: -Infinity })
+    const loaded = others.map((o) => ({ ...o, othersReported: 6 }))
+    const share = shareOf(new routing.choice.LoadAwareChoice(), [missing, ...loaded], 'a')
+    expect(share).toBeLessThan(0.3)
+  })
+})
+
+interface Item extends routing.fairQueue.Waiting {
+  readonly requestId: string
+}
+
+const item = (caller: string, n: number, change: Partial<Item> = {}): Item => ({
+  requestId: `${caller}${n}`,
+  caller,
+  weight: 1,
+  deadlineMs: 1_000,
+  ...change,
+})
+
+const CAPACITY = 10
+
+const flooded = (queue: routing.fairQueue.RequestQueue<Item>): readonly string[] => {
+  for (let i = 0; i < 30; i++) queue.push(item('flood', i))
+  for (let i = 0; i < 3; i++) queue.push(item('counter', i))
+  return Array.from({ length: 6 }, () => queue.pop()?.caller ?? '')
+}
+
+describe('fair queue', () => {
+  // Guards against a flood that fills the queue and is served first; the baseline shows it.
+  test('a flood neither fills the queue nor goes first', () => {
+    const fair = flooded(new routing.fairQueue.FairQueue<Item>(() => CAPACITY))
+    expect(fair.filter((caller) => caller === 'counter').length).toBe(3)
+    const fifo = flooded(new routing.fairQueue.FifoQueue<Item>(() => CAPACITY))
+    expect(fifo.filter((caller) => caller === 'counter').length).toBe(0)
+  })
+
+  // Guards against weights that are ignored.
+  test('callers are served by weight', () => {
+    const queue = new routing.fairQueue.FairQueue<Item>(() => 100)
+    for (let i = 0; i < 20; i++) queue.push(item('heavy', i, { weight: 3 }))
+    for (let i = 0; i < 20; i++) queue.push(item('light', i))
+    const served = Array.from({ length: 16 }, () => queue.pop()?.caller)
+    expect(served.filter((caller) => caller === 'heavy').length).toBe(12)
+  })
+
+  // Guards against requests that stay in the queue after their deadline or their caller is gone.
+  test('expired and removed requests leave', () => {
+    const queue = new routing.fairQueue.FairQueue<Item>(() => 100)
+    queue.push(item('a', 1, { deadlineMs: 10 }))
+    queue.push(item('a', 2))
+    queue.push(item('b', 3))
+    expect(queue.expire(10).map((i) => i.requestId)).toEqual(['a1'])
+    expect(queue.remove('b3')?.requestId).toBe('b3')
+    expect([queue.size(), queue.pop()?.requestId, queue.size()]).toEqual([1, 'a2', 0])
+  })
+})
+
+describe('retry budget', () => {
+  // Guards against retries that multiply the load of a service that already fails.
+  test('retries stay a share of first attempts', () => {
+    const retriesWith = (budget: routing.retryBudget.RetryBudget): number => {
+      let retries = 0
+      for (let i = 0; i < 1_000; i++) {
+        budget.deposit(i)
+        if (budget.withdraw(i)) retries++
+      }
+      return retries
+    }
+    expect(retriesWith(new routing.retryBudget.RatioRetryBudget())).toBeLessThanOrEqual(120)
+    expect(retriesWith(new routing.retryBudget.UnlimitedRetries())).toBe(1_000)
+  })
+})
+
+const ejectionsOf = (
+  policy: routing.outliers.OutlierPolicy,
+  failing: number,
+  endpoints: number,
+): number => {
+  const ejected = new Set<number>()
+  for (let i = 0; i < endpoints; i++) policy.know(`e${i}`)
+  for (let round = 0; round < 50; round++) {
+    for (let i = 0; i < endpoints; i++) {
+      const untilMs = policy.onEnd(`e${i}`, { failed: i < failing, tookMs: 10 }, round)
+      if (untilMs > 0) ejected.add(i)
+    }
+  }
+  return ejected.size
+}
+
+describe('outlier ejection', () => {
+  const cases: readonly (readonly [failing: number, endpoints: number, ejected: number])[] = [
+    [1, 10, 1],
+    [4, 10, 4],
+    [10, 10, 4],
+    [3, 3, 1],
+    [2, 2, 0],
+    [1, 1, 0],
+  ]
+
+  // Guards against ejecting half or more of the endpoints, and against ejecting none.
+  test.each(cases)('%d failing of %d: %d ejected', (failing, endpoints, ejected) => {
+    expect(ejectionsOf(new routing.outliers.OutlierEjector(), failing, endpoints)).toBe(ejected)
+    expect(ejectionsOf(new routing.outliers.NoEjection(), failing, endpoints)).toBe(0)
+  })
+
+  // Guards against a slow endpoint that is kept because it never fails.
+  test('an endpoint far slower than the median is ejected', () => {
+    const policy = new routing.outliers.OutlierEjector()
+    const untilMs = Array.from({ length: 60 }, (_, round) =>
+      ['a', 'b', 'c', 'd', 'e'].map((id) =>
+        policy.onEnd(id, { failed: false, tookMs: id === 'a' ? 200 : 10 }, round),
+      ),
+    )
+    expect(untilMs.some(([slow]) => (slow ?? 0) > 0)).toBe(true)
+    expect(untilMs.every(([, ...rest]) => rest.every((ms) => ms === 0))).toBe(true)
+  })
+})
+
+const routerOf = (
+  options: Partial<routing.serviceRouter.RouterOptions> = {},
+): routing.serviceRouter.ServiceRouter<Item> =>
+  routing.serviceRouter.createServiceRouter<Item>(
+    {
+      choice: new routing.choice.LoadAwareChoice(),
+      queue: new routing.fairQueue.FairQueue<Item>(() => 100),
+      budget: new routing.retryBudget.RatioRetryBudget(),
+      outliers: new routing.outliers.OutlierEjector(),
+    },
+    { failureDomain: 'rennes', ...options },
+  )
+
+const listing = (id: string, closed = false): routing.endpoint.EndpointListing => ({
+  id,
+  failureDomain: 'rennes',
+  slots: 2,
+  closed,
+})
+
+describe('router of a service', () => {
+  const fill = (router: routing.serviceRouter.ServiceRouter<Item>): readonly string[] => {
+    router.list([listing('a')], 0)
+    const report = { running: 0, queued: 0, slots: 2, leaving: false, serviceTimeMs: 100 }
+    router.table.report('a', report, 0)
+    return Array.from({ length: 40 }, (_, n) => {
+      const admission = router.offer(item('counter', n), 0)
+      router.next(0, Math.random)
+      return admission.kind === 'refused' ? admission.reason : 'accepted'
+    })
+  }
+
+  // Guards against requests that wait for an answer that can only be late.
+  test('a request that would be late is refused at once', () => {
+    const early = fill(routerOf())
+    const first = early.indexOf('too-late')
+    expect(first).toBeGreaterThan(10)
+    expect(first).toBeLessThan(30)
+    expect(fill(routerOf({ refuseEarly: false }))).not.toContain('too-late')
+  })
+
+  // Guards against more requests at an endpoint than it has room for.
+  test('dispatches no more than slots and overcommit', () => {
+    const router = routerOf()
+    router.list([listing('a'), listing('b')], 0)
+    for (let n = 0; n < 10; n++) router.offer(item('counter', n), 0)
+    const dispatched = Array.from({ length: 10 }, () => router.next(0, Math.random))
+    expect(dispatched.filter((d) => d !== undefined).length).toBe(6)
+    router.ended('a', { failed: false, tookMs: 1 }, 0)
+    expect(router.next(0, Math.random)?.endpointId).toBe('a')
+  })
+
+  const closed: readonly (readonly [
+    string,
+    (r: routing.serviceRouter.ServiceRouter<Item>) => void,
+  ])[] = [
+    [
+      'leaving by the directory',
+      (r) => {
+        r.list([listing('a', true), listing('b')], 0)
+      },
+    ],
+    [
+      'leaving by its report',
+      (r) => {
+        const report = { running: 0, queued: 0, slots: 2, leaving: true, serviceTimeMs: 1 }
+        r.table.report('a', report, 0)
+      },
+    ],
+    [
+      'not reachable',
+      (r) => {
+        r.table.setReachable('a', false)
+      },
+    ],
+    [
+      'ejected',
+      (r) => {
+        r.list([listing('a'), listing('b'), listing('c')], 0)
+        r.table.eject('a', 100)
+      },
+    ],
+  ]
+
+  // Guards against requests for endpoints that will refuse or lose them.
+  test.each(closed)('an endpoint that is %s is not chosen', (_name, close) => {
+    const router = routerOf()
+    router.list([listing('a'), listing('b')], 0)
+    const chosen = (): ReadonlySet<string | undefined> =>
+      new Set(
+        Array.from({ length: 30 }, () => {
+          const id = router.again(new Set(), false, 0, Math.random)
+          if (id !== undefined) router.table.ended(id, undefined)
+          return id
+        }),
+      )
+    expect(chosen().has('a')).toBe(true)
+    close(router)
+    expect(chosen().has('a')).toBe(false)
+  })
+})
--- a/packages/routing/src/choice.ts
+++ b/packages/routing/src/choice.ts
@@ -81,6 +81,27 @@
 const mean = (values: readonly number[]): number =>
   values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length
 
+const freshness = (view: View, nowMs: number, reportDecayMs: number): number =>
+  Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / reportDecayMs)
+
+/** Mean load in the reports, weighted by their freshness; the plain mean if all are stale. */
+export const meanReport = (
+  views: readonly View[],
+  nowMs: number,
+  reportDecayMs: number,
+): number => {
+  let sum = 0
+  let weights = 0
+  for (const view of views) {
+    if (view.othersReported === undefined) continue
+    const weight = freshness(view, nowMs, reportDecayMs)
+    sum += weight * view.othersReported
+    weights += weight
+  }
+  if (weights > Number.EPSILON) return sum / weights
+  return mean(views.flatMap((view) => view.othersReported ?? []))
+}
+
 /** Requests of other processes now: the report fades towards the mean of all reports with its age. */
 export const agedLoad = (
   view: View,
@@ -89,7 +110,7 @@
   reportDecayMs: number,
 ): number => {
   if (view.othersReported === undefined) return meanReported
-  const weight = Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / reportDecayMs)
+  const weight = freshness(view, nowMs, reportDecayMs)
   return meanReported + (view.othersReported - meanReported) * weight
 }
 
@@ -102,9 +123,11 @@
   }
 
   choose(candidates: readonly View[], context: ChoiceContext): View | undefined {
-    const reported = candidates.flatMap((c) => c.othersReported ?? [])
     const times = candidates.map((c) => c.serviceTimeMs).filter((ms) => ms > 0)
-    const means = { reported: mean(reported), timeMs: mean(times) || ASSUMED_SERVICE_TIME_MS }
+    const means = {
+      reported: meanReport(candidates, context.nowMs, this.options.reportDecayMs),
+      timeMs: mean(times) || ASSUMED_SERVICE_TIME_MS,
+    }
     let best: View | undefined
     let bestMs = Infinity
     for (const candidate of this.sample(candidates, context.random)) {
