--- a/packages/control-state/src/taskEnds.ts
+++ b/packages/control-state/src/taskEnds.ts
@@ -3,13 +3,18 @@
 import * as jobs from './jobs.js'
 import * as limits from './limits.js'
 import type * as outcome from './outcome.js'
+import * as places from './places.js'
 import * as records from './records.js'
 import * as serviceTasks from './serviceTasks.js'
 import * as taskId from './taskId.js'
 
 const { TaskOutcome } = protocol.command
 
-const assignedTask = (tables: records.Tables, task: string): records.TaskRecord | undefined => {
+/** The task with this id, if it is assigned. */
+export const assignedTask = (
+  tables: records.Tables,
+  task: string,
+): records.TaskRecord | undefined => {
   const id = taskId.parseTaskId(task)
   if (id === undefined) return undefined
   const found =
@@ -44,6 +49,7 @@
   const worker = tables.workers.get(task.worker)
   if (worker !== undefined) {
     worker.tasks.delete(task.task)
+    places.countPlace(tables, task, worker, -1)
     worker.free = records.addResources(worker.free, task.resources)
     tables.capacity.update(worker)
   }
@@ -87,15 +93,20 @@
     task.failedOn = task.worker
   }
   if (checkpoint !== '') task.checkpoint = checkpoint
+  const wasCounted = task.kind === 'service' && serviceTasks.isCounted(tables, task)
   release(tables, task)
   if (task.kind === 'batch') settleBatch(tables, task, ended)
-  else serviceTasks.refreshService(tables, records.serviceOf(tables, task.owner))
+  if (!wasCounted) return
+  const service = records.serviceOf(tables, task.owner)
+  service.serving -= 1
+  serviceTasks.refreshLacking(tables, service)
 }
 
 const endOne = (
   tables: records.Tables,
   end: protocol.command.TaskEnd,
 ): outcome.EndResult['result'] => {
+  if (end.outcome === TaskOutcome.TASK_OUTCOME_UNSPECIFIED) return 'refused'
   const task = assignedTask(tables, end.task)
   if (task?.attempt !== end.attempt) return 'stale'
   endAttempt(tables, task, end.outcome, end.checkpoint)
