--- a/packages/control-state/src/records.ts
+++ b/packages/control-state/src/records.ts
@@ -35,6 +35,7 @@
 export interface RuleState {
   revision: number
   operator: string
+  acceptedAtMs: number
   text: string
   set: types.RuleSet
   records: Map<string, protocol.common.RuleRecord>
@@ -124,6 +125,7 @@
   rules: {
     revision: 0,
     operator: '',
+    acceptedAtMs: 0,
     text: '',
     set: EMPTY_RULES,
     records: new Map(),
--- a/packages/control-state/src/rulesCommands.ts
+++ b/packages/control-state/src/rulesCommands.ts
@@ -78,6 +78,7 @@
   if (parsed.isErr()) return { kind: 'rulesRefused', errors: parsed.error }
   rules.revision = revision
   rules.operator = operator
+  rules.acceptedAtMs = tables.logTimeMs
   rules.text = text
   rules.history.set(revision, { digest, operator })
   dropOldest(rules.history, limits.MAX_RULE_HISTORY)
--- a/packages/control-state/src/snapshot.ts
+++ b/packages/control-state/src/snapshot.ts
@@ -23,6 +23,7 @@
   readonly nextSequence: number
   readonly revision: number
   readonly operator: string
+  readonly acceptedAtMs: number
   readonly text: string
   readonly deltaFrom: number
   readonly ruleRecords: [string, ReturnType<records.RuleState['records']['get']> & object][]
@@ -69,6 +70,7 @@
     nextSequence: tables.nextSequence,
     revision: rules.revision,
     operator: rules.operator,
+    acceptedAtMs: rules.acceptedAtMs,
     text: rules.text,
     deltaFrom: rules.deltaFrom,
     ruleRecords: [...rules.records],
@@ -117,6 +119,7 @@
   const { rules } = tables
   rules.revision = snapshot.revision
   rules.operator = snapshot.operator
+  rules.acceptedAtMs = snapshot.acceptedAtMs
   rules.text = snapshot.text
   rules.deltaFrom = snapshot.deltaFrom
   rules.records = new Map(snapshot.ruleRecords)
--- a/packages/control-state/src/view.ts
+++ b/packages/control-state/src/view.ts
@@ -12,12 +12,19 @@
   readonly normal: ReadonlySet<types.JobView>
 }
 
+/** The revision in force as it was submitted. */
+export interface RulesText {
+  readonly text: string
+  readonly operator: string
+  /** By the clock of the log, in milliseconds. */
+  readonly acceptedAtMs: number
+}
+
 export interface ControlView {
   readonly appliedIndex: () => number
   readonly logTimeMs: () => number
   readonly revision: () => number
-  /** Text and operator of the revision in force. */
-  readonly rulesText: () => { readonly text: string; readonly operator: string }
+  readonly rulesText: () => RulesText
   readonly rules: () => types.RuleSet
   /** Rules that changed after `knownRevision`, for a receiver that has that revision. */
   readonly changesSince: (knownRevision: number) => types.ConfigChanges
@@ -76,7 +83,10 @@
   appliedIndex: () => current().appliedIndex,
   logTimeMs: () => current().logTimeMs,
   revision: () => current().rules.revision,
-  rulesText: () => ({ text: current().rules.text, operator: current().rules.operator }),
+  rulesText: () => {
+    const { text, operator, acceptedAtMs } = current().rules
+    return { text, operator, acceptedAtMs }
+  },
   rules: () => current().rules.set,
   changesSince: (known) => rulesCommands.changesSince(current().rules, known),
   job: (job) => current().jobs.get(job),
--- a/packages/control/src/memberRoutes.ts
+++ b/packages/control/src/memberRoutes.ts
@@ -1,11 +1,16 @@
 /** Operator API: replicas of the control group. */
-import * as protocol from '@ebonyweir/protocol'
+import * as timers from 'node:timers/promises'
+import type * as protocol from '@ebonyweir/protocol'
 import type * as replica from '@ebonyweir/replica'
 import type * as context from './context.js'
 import type * as httpRouter from './httpRouter.js'
 import * as replies from './replies.js'
 import * as schemas from './schemas.js'
 
+/** Longer than the contact limit of the replica's status, in milliseconds. */
+const CONTACT_TIMEOUT_MS = 1_500
+const CONTACT_POLL_MS = 25
+
 type MemberAddress = protocol.operatorApi.MemberAddress
 
 const identity = (ctx: context.ControlContext): httpRouter.HttpReply => {
@@ -34,7 +39,34 @@
   lastAnswerAgeMs: member.lastContactMs ?? -1,
 })
 
-const members = (ctx: context.ControlContext): httpRouter.HttpReply => {
+/** Voters that have not been heard from since `sinceMs`. */
+const silentVoters = (
+  ctx: context.ControlContext,
+  sinceMs: number,
+): readonly replica.MemberStatus[] => {
+  const elapsedMs = ctx.nowMs() - sinceMs
+  return ctx.replica
+    .membersStatus()
+    .members.filter(({ id, voter }) => voter && id !== ctx.replica.id)
+    .filter(({ lastContactMs }) => lastContactMs === undefined || lastContactMs > elapsedMs)
+}
+
+/**
+ * Waits until every voter was heard from after the request arrived. A contact from before would let
+ * a voter that was lost a moment ago count as repaired.
+ */
+const awaitContact = async (ctx: context.ControlContext): Promise<void> => {
+  const sinceMs = ctx.nowMs()
+  while (ctx.nowMs() - sinceMs < CONTACT_TIMEOUT_MS) {
+    if (silentVoters(ctx, sinceMs).length === 0) return
+    await timers.setTimeout(CONTACT_POLL_MS)
+  }
+}
+
+const members = async (ctx: context.ControlContext): Promise<httpRouter.HttpReply> => {
+  if (!ctx.term()) return replies.redirect(ctx)
+  // After the timeout a silent voter exceeds the contact limit of the replica's own status.
+  await awaitContact(ctx)
   if (!ctx.term()) return replies.redirect(ctx)
   const status = ctx.replica.membersStatus()
   return replies.ok({
--- a/packages/control/src/rulesRoutes.ts
+++ b/packages/control/src/rulesRoutes.ts
@@ -9,14 +9,14 @@
 
 const getRules = (ctx: context.ControlContext): httpRouter.HttpReply => {
   if (!ctx.term()) return replies.redirect(ctx)
-  const { text, operator } = ctx.view.rulesText()
+  const { text, operator, acceptedAtMs } = ctx.view.rulesText()
   const revision = ctx.view.revision()
   return replies.ok({
     revision,
     digest: revision === 0 ? '' : rules.digestRules(operator, text),
     operator,
     text,
-    acceptedAtMs: ctx.view.logTimeMs(),
+    acceptedAtMs,
   } satisfies protocol.operatorApi.RulesAnswer)
 }
 
