fix(agent): refuse as not run for three probes before a graceful exit

Cause: an agent without running requests exited at once after SIGTERM; entries that had not heard yet got UNAVAILABLE and answered unknown. Change: the agent reports leaving in its load reports and goes on refusing for 1.5 s, within shutdownTimeoutMs.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -39,6 +39,11 @@
 const IDLE_TICK_MS = 500
 const MAX_ENDPOINTS = 64
 const DRAIN_POLL_MS = 20
+/**
+ * Entries learn from their probes, two a second, that an agent leaves. Until they had three, it goes on
+ * refusing requests as not run; a connection that fails to open proves nothing to the entry.
+ */
+const LEAVING_GRACE_MS = 1_500
 
 const serverOptions: grpc.ServerOptions = {
   'grpc.max_receive_message_length': protocol.limits.MAX_MESSAGE_BYTES,
@@ -196,7 +201,9 @@
 
   const drain = async (): Promise<void> => {
     const untilMs = now() + resolved.shutdownTimeoutMs
-    while (state.active.size > 0 && now() < untilMs) await pause(DRAIN_POLL_MS)
+    const graceUntilMs = Math.min(untilMs, now() + LEAVING_GRACE_MS)
+    const isBusy = (): boolean => state.active.size > 0 && now() < untilMs
+    while (isBusy() || now() < graceUntilMs) await pause(DRAIN_POLL_MS)
     if (state.active.size > 0) {
       logger.warn('requests were cut by the shutdown deadline', { requests: state.active.size })
     }
--- a/packages/agent/src/executionState.ts
+++ b/packages/agent/src/executionState.ts
@@ -164,7 +164,7 @@
       running: e.running,
       queued: queued.get(e.endpoint) ?? 0,
       slots: e.slots,
-      leaving: e.leaving || out || e.expiresAtMs <= nowMs,
+      leaving: state.closing || e.leaving || out || e.expiresAtMs <= nowMs,
       serviceTimeMs: e.serviceTimeMs,
     })),
   }
