--- /dev/null
+++ b/packages/model-check/src/engine.ts
@@ -0,0 +1,149 @@
+import * as crypto from 'node:crypto'
+
+/** Property that must hold in every reachable state. */
+export interface Invariant<State> {
+  readonly name: string
+  /** Describes the violation, or gives undefined when the property holds. */
+  check(state: State): string | undefined
+}
+
+/** Transition system to explore. */
+export interface Model<State, Action> {
+  readonly name: string
+  readonly initial: readonly State[]
+  /** Actions that are possible in a state. */
+  actions(state: State): readonly Action[]
+  next(state: State, action: Action): State
+  /** Equal for states that behave the same from here on. */
+  key(state: State): string
+  describe(action: Action, state: State): string
+  readonly invariants: readonly Invariant<State>[]
+}
+
+export interface Violation {
+  readonly invariant: string
+  readonly detail: string
+  /** Actions from an initial state to the violation. */
+  readonly trace: readonly string[]
+}
+
+export interface Exploration {
+  readonly states: number
+  readonly depth: number
+  readonly elapsedMs: number
+  /** Whether every reachable state was visited. */
+  readonly complete: boolean
+  readonly violation: Violation | undefined
+}
+
+export interface ExploreOptions {
+  /** Number of states after which the exploration gives up. */
+  readonly maxStates: number
+  /** Milliseconds source for the report. */
+  readonly nowMs: () => number
+}
+
+interface Visit<State> {
+  readonly state: State
+  readonly depth: number
+  /** Shared tail of the trace. */
+  readonly step: Step | undefined
+}
+
+interface Step {
+  readonly text: string
+  readonly previous: Step | undefined
+}
+
+const toTrace = (step: Step | undefined): readonly string[] => {
+  const trace: string[] = []
+  for (let at = step; at !== undefined; at = at.previous) trace.unshift(at.text)
+  return trace
+}
+
+const digest = (key: string): string => crypto.createHash('md5').update(key).digest('base64')
+
+/** First invariant that does not hold in a state. */
+export const findViolation = <State>(
+  invariants: readonly Invariant<State>[],
+  state: State,
+): { readonly invariant: string; readonly detail: string } | undefined => {
+  for (const invariant of invariants) {
+    const detail = invariant.check(state)
+    if (detail !== undefined) return { invariant: invariant.name, detail }
+  }
+  return undefined
+}
+
+/** Visits all reachable states breadth first, so that a reported trace is as short as possible. */
+export const explore = <State, Action>(
+  model: Model<State, Action>,
+  options: ExploreOptions,
+): Exploration => {
+  const startedMs = options.nowMs()
+  const seen = new Set<string>()
+  let frontier: Visit<State>[] = []
+  let depth = 0
+
+  const finish = (complete: boolean, violation?: Violation): Exploration => ({
+    states: seen.size,
+    depth,
+    elapsedMs: options.nowMs() - startedMs,
+    complete,
+    violation,
+  })
+
+  const visit = (state: State, at: number, step: Step | undefined): Violation | undefined => {
+    const key = digest(model.key(state))
+    if (seen.has(key)) return undefined
+    seen.add(key)
+    const found = findViolation(model.invariants, state)
+    if (found !== undefined) return { ...found, trace: toTrace(step) }
+    frontier.push({ state, depth: at, step })
+    return undefined
+  }
+
+  for (const state of model.initial) {
+    const violation = visit(state, 0, undefined)
+    if (violation !== undefined) return finish(false, violation)
+  }
+  while (frontier.length > 0) {
+    const current = frontier
+    frontier = []
+    depth += 1
+    for (const { state, step } of current) {
+      for (const action of model.actions(state)) {
+        const next = model.next(state, action)
+        const text = model.describe(action, state)
+        const violation = visit(next, depth, { text, previous: step })
+        if (violation !== undefined) return finish(false, violation)
+        if (seen.size >= options.maxStates) return finish(false)
+      }
+    }
+  }
+  return finish(true)
+}
+
+/**
+ * Follows one run through the model.
+ *
+ * @param choices numbers that select among the enabled actions, one for each step
+ */
+export const walk = <State, Action>(
+  model: Model<State, Action>,
+  choices: readonly number[],
+): Violation | undefined => {
+  let state = model.initial[0]
+  const trace: string[] = []
+  for (const choice of choices) {
+    if (state === undefined) return undefined
+    const actions = model.actions(state)
+    const action = actions[choice % Math.max(actions.length, 1)]
+    if (action === undefined) return undefined
+    trace.push(model.describe(action, state))
+    state = model.next(state, action)
+    const found = findViolation(model.invariants, state)
+    if (found !== undefined) return { ...found, trace }
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/model-check/src/main.ts
@@ -0,0 +1,78 @@
+import * as consensusModel from './consensusModel.js'
+import * as scenarios from './consensusScenarios.js'
+import * as engine from './engine.js'
+import * as random from './randomRuns.js'
+
+const nowMs = () => performance.now()
+const print = (text: string): void => {
+  process.stdout.write(`${text}\n`)
+}
+
+const showTraces = process.argv.includes('--traces')
+const long = !process.argv.includes('--short')
+const wanted = process.argv
+  .find((argument) => argument.startsWith('--only='))
+  ?.slice('--only='.length)
+const maxStates = long ? 600_000 : 40_000
+const randomSeconds = Number(
+  process.argv.find((argument) => argument.startsWith('--random='))?.slice('--random='.length) ?? 0,
+)
+
+const summary = (result: engine.Exploration): string => {
+  const seconds = (result.elapsedMs / 1_000).toFixed(1)
+  const extent = result.complete ? 'complete' : 'stopped'
+  return `${result.states} states, depth ${result.depth}, ${seconds} s, ${extent}`
+}
+
+const report = (label: string, result: engine.Exploration): void => {
+  print(`  ${label}: ${summary(result)}`)
+  const { violation } = result
+  if (violation === undefined) return
+  print(`    ${violation.invariant}: ${violation.detail} (${violation.trace.length} actions)`)
+  if (showTraces) for (const line of violation.trace) print(`      ${line}`)
+}
+
+/** Explores one scenario with and without its protection; tells whether both came out as expected. */
+const runScenario = (scenario: scenarios.Scenario): boolean => {
+  print(`${scenario.name} [${scenario.protection}]`)
+  const on = engine.explore(
+    consensusModel.createConsensusModel(scenario, { protected: true, long }),
+    { maxStates, nowMs },
+  )
+  report('on ', on)
+  if (Object.keys(scenario.weakened).length === 0) return on.violation === undefined
+  const off = engine.explore(
+    consensusModel.createConsensusModel(scenario, { protected: false, long: false }),
+    { maxStates, nowMs },
+  )
+  report('off', off)
+  return on.violation === undefined && off.violation !== undefined
+}
+
+/** Random runs with fresh seeds until the time is used up. */
+const runRandom = (seconds: number): boolean => {
+  const options = { protected: true, long: true }
+  const model = consensusModel.createConsensusModel(scenarios.randomScenario, options)
+  const untilMs = nowMs() + seconds * 1_000
+  let runs = 0
+  while (nowMs() < untilMs) {
+    const seed = Math.floor(Math.random() * 0x7fffffff)
+    const violation = random.randomRuns(model, { seed, runs: 20, steps: 250 })
+    runs += 20
+    if (violation === undefined) continue
+    print(`random runs, seed ${seed}: ${violation.invariant}: ${violation.detail}`)
+    for (const line of violation.trace) print(`  ${line}`)
+    return false
+  }
+  print(`random runs: ${runs} runs of 250 actions, no violation`)
+  return true
+}
+
+if (randomSeconds > 0) {
+  process.exit(runRandom(randomSeconds) ? 0 : 1)
+}
+
+const chosen = scenarios.scenarios.filter((s) => wanted === undefined || s.name.includes(wanted))
+const failed = chosen.filter((scenario) => !runScenario(scenario))
+for (const scenario of failed) print(`not as expected: ${scenario.name}`)
+process.exitCode = failed.length === 0 ? 0 : 1
