--- a/packages/storage/src/faultFileSystem.ts
+++ b/packages/storage/src/faultFileSystem.ts
@@ -173,6 +173,10 @@
     case 'prefix':
       return content.subarray(0, syncedLength + unsynced.bytes)
     case 'zeroed':
-      return Buffer.from(content).fill(0, syncedLength, syncedLength + unsynced.bytes)
+      return Buffer.from(content).fill(
+        0,
+        syncedLength,
+        Math.min(syncedLength + unsynced.bytes, content.length),
+      )
   }
 }
--- a/packages/storage/src/storage.ts
+++ b/packages/storage/src/storage.ts
@@ -155,7 +155,8 @@
   const base = snapshot?.meta.lastIndex ?? 0
   const atBase = log.entries.find((entry) => entry.index === base)
   if (atBase !== undefined && atBase.term !== snapshot?.meta.lastTerm) {
-    return results.Ok({ entries: [], staleFrom: base + 1 })
+    // All of it, so that the entry at the snapshot's index cannot make later entries look stale.
+    return results.Ok({ entries: [], staleFrom: log.entries[0]?.index })
   }
   const entries = log.entries.filter((entry) => entry.index > base)
   const first = entries[0]
