--- /dev/null
+++ b/packages/experiment/src/batch/matrix.ts
@@ -0,0 +1,116 @@
+/** Runs every policy in every scenario with every seed and compares the results. */
+import * as statistics from '../report/statistics.js'
+import type * as data from './data.js'
+import * as policies from './policies.js'
+import * as simulation from './simulation.js'
+
+export interface PolicyResult {
+  readonly policy: policies.Policy
+  /** One per seed, in the order of the seeds. */
+  readonly runs: readonly simulation.RunResult[]
+}
+
+export interface ScenarioResult {
+  readonly deployment: data.Deployment
+  readonly scenario: data.Scenario
+  readonly results: readonly PolicyResult[]
+}
+
+export interface Measure {
+  readonly name: string
+  readonly digits: number
+  readonly better: 'lower' | 'higher'
+  readonly read: (run: simulation.RunResult, alone: simulation.RunResult) => number
+}
+
+export const MEASURES: readonly Measure[] = [
+  { name: 'tail p99 ms', digits: 1, better: 'lower', read: (run) => run.p99Ms },
+  {
+    name: 'tail / no batch',
+    digits: 2,
+    better: 'lower',
+    read: (run, alone) => run.p99Ms / alone.p99Ms,
+  },
+  { name: 'throughput core s/s', digits: 1, better: 'higher', read: (run) => run.throughput },
+  { name: 'evictions', digits: 1, better: 'lower', read: (run) => run.evictions },
+  {
+    name: 'work over domain leave core s',
+    digits: 0,
+    better: 'higher',
+    read: (run) => run.domainWork,
+  },
+  { name: 'longest urgent start s', digits: 1, better: 'lower', read: (run) => run.urgentStartS },
+  { name: 'failed attempts', digits: 0, better: 'lower', read: (run) => run.failures },
+]
+
+/** Measures in which our policy is compared with the baselines. */
+const COMPARED = [
+  'tail p99 ms',
+  'throughput core s/s',
+  'evictions',
+  'work over domain leave core s',
+]
+
+/** Standard errors of the paired difference from which a baseline counts as better. */
+const CLEAR_ERRORS = 2
+
+export const runScenario = (
+  deployment: data.Deployment,
+  scenario: data.Scenario,
+  seeds: readonly number[],
+): ScenarioResult => {
+  const results = policies.POLICIES.map((policy) => ({
+    policy,
+    runs: seeds.map((seed) => simulation.runSimulation({ deployment, scenario, policy, seed })),
+  }))
+  return { deployment, scenario, results }
+}
+
+const aloneOf = (result: ScenarioResult): readonly simulation.RunResult[] =>
+  result.results.find(({ policy }) => policy.group === 'no batch')?.runs ?? []
+
+export const valuesOf = (
+  result: ScenarioResult,
+  { runs }: PolicyResult,
+  measure: Measure,
+): readonly number[] => {
+  const alone = aloneOf(result)
+  return runs.map((run, seed) => measure.read(run, alone[seed] ?? run))
+}
+
+export interface Comparison {
+  readonly deployment: string
+  readonly scenario: string
+  readonly measure: string
+  readonly baseline: string
+  readonly ours: number
+  readonly theirs: number
+  /** False if the difference is within two standard errors over the seeds. */
+  readonly isClear: boolean
+}
+
+/** Baselines that are better than our policy on a measure. */
+export const findBetterBaselines = (result: ScenarioResult): readonly Comparison[] => {
+  const ours = result.results.find(({ policy }) => policy.group === 'ours')
+  const baselines = result.results.filter(({ policy }) => policy.group === 'baseline')
+  if (ours === undefined) return []
+  const measures = MEASURES.filter(({ name }) => COMPARED.includes(name))
+  return measures.flatMap((measure) =>
+    baselines.flatMap((baseline) => {
+      const a = valuesOf(result, baseline, measure)
+      const b = valuesOf(result, ours, measure)
+      const { difference, error } = statistics.comparePairs(a, b)
+      const gain = measure.better === 'lower' ? -difference : difference
+      if (gain <= 0) return []
+      return {
+        deployment: result.deployment.name,
+        scenario: result.scenario.name,
+        measure: measure.name,
+        baseline: baseline.policy.name,
+        ours: statistics.spreadOf(b).mean,
+        theirs: statistics.spreadOf(a).mean,
+        isClear: gain > CLEAR_ERRORS * error,
+      }
+    }),
+  )
+}
--- a/packages/experiment/src/batch/simulation.ts
+++ b/packages/experiment/src/batch/simulation.ts
@@ -133,7 +133,11 @@
   }
 
   const runEvents = (): void => {
-    for (; (arrivals[next]?.atMs ?? Infinity) <= nowMs; next += 1) submit(arrivals[next]!)
+    for (let arriving = arrivals[next]; arriving !== undefined && arriving.atMs <= nowMs;) {
+      submit(arriving)
+      next += 1
+      arriving = arrivals[next]
+    }
     for (const atMs of scenario.cancelAtMs) trigger(atMs, cancelWave)
     if (scenario.domainOut === null) return
     const [outMs, backMs] = scenario.domainOut
--- a/packages/experiment/src/batch/workload.ts
+++ b/packages/experiment/src/batch/workload.ts
@@ -19,14 +19,11 @@
 
 const TASKS_PER_JOB = 4
 
-const pickKind = (kinds: readonly data.Kind[], random: randoms.Random): data.Kind => {
-  const total = kinds.reduce((sum, { mix }) => sum + mix, 0)
+const pickKind = (deployment: data.Deployment, random: randoms.Random): data.Kind => {
+  const total = deployment.kinds.reduce((sum, { mix }) => sum + mix, 0)
   let rest = random() * total
-  for (const kind of kinds) {
-    rest -= kind.mix
-    if (rest <= 0) return kind
-  }
-  return kinds[0]!
+  const found = deployment.kinds.find(({ mix }) => (rest -= mix) <= 0)
+  return found ?? deployment.noisyKind
 }
 
 /** Work of a job's median tasks in core milliseconds. */
@@ -44,7 +41,7 @@
   const jobs: ArrivingJob[] = []
   // A third of the work waits at the start; the rest arrives evenly.
   for (let work = 0; work < totalWork;) {
-    const kind = pickKind(deployment.kinds, random)
+    const kind = pickKind(deployment, random)
     const atMs = Math.max(0, (work / totalWork - 1 / 3) * 1.5 * scenario.durationMs)
     const job = `${kind.kind}-${jobs.length}`
     jobs.push({ atMs, job, kind, tasks: TASKS_PER_JOB, urgent: false })
@@ -52,7 +49,7 @@
   }
   const urgent = (scenario.urgentPerMinute * scenario.durationMs) / 60_000
   for (let n = 0; n < urgent; n += 1) {
-    const kind = pickKind(deployment.kinds, random)
+    const kind = pickKind(deployment, random)
     const atMs = random() * scenario.durationMs
     jobs.push({ atMs, job: `urgent-${n}`, kind, tasks: 1, urgent: true })
   }
