perf(scheduling): let harmful tasks wait for a quieter worker

Cause: a harmful task was placed beside a busy service and then throttled to a fraction of its speed or evicted, while harmless work waited behind it.

Change: a batch task whose expected harm exceeds a guard's limit on every sampled worker waits up to 20 s, and other work takes the room.

--- a/packages/scheduling/src/options.ts
+++ b/packages/scheduling/src/options.ts
@@ -17,6 +17,8 @@
   readonly victim: VictimKind
   /** Uses learned interference in placement. @default true */
   readonly interferencePlacement: boolean
+  /** Lets harmful tasks wait for a quieter worker. @default true */
+  readonly deferral: boolean
   /** Keeps tasks of one owner apart in racks and failure domains. @default true */
   readonly spread: boolean
   /** Fills a returned failure domain gradually. @default true */
@@ -48,6 +50,7 @@
   guard: true,
   victim: 'leastLost',
   interferencePlacement: true,
+  deferral: true,
   spread: true,
   refill: true,
   quarantine: true,
--- a/packages/scheduling/src/placers.ts
+++ b/packages/scheduling/src/placers.ts
@@ -62,6 +62,12 @@
 /** Weight of a slowdown beyond what a guard allows: it is answered by a throttle or an eviction. */
 const OVER_BUDGET = 4
 
+/** Expected rise beyond a guard's limit above which a task waits for a quieter worker. */
+const DEFER_ABOVE = 0.05
+
+/** Longest time for which a job waits for a quieter worker, in milliseconds. */
+const MAX_DEFER_MS = 20_000
+
 /** Lowest expected harm, spread and waste among a bounded sample of workers. */
 export class ScoredPlacer implements Placer {
   constructor(
@@ -74,7 +80,9 @@
   choose(plan: plans.Plan, task: waiting.WaitingTask): controlState.WorkerView | undefined {
     let best: controlState.WorkerView | undefined
     let bestCost = Number.POSITIVE_INFINITY
+    const mayDefer = this.parts.deferral && this.mayDefer(plan, task)
     for (const worker of candidates.sampleCandidates(plan, task, this.random)) {
+      if (mayDefer && this.overBudget(plan, task, worker) > DEFER_ABOVE) continue
       const cost = this.costOf(plan, task, worker)
       if (cost >= bestCost) continue
       best = worker
@@ -131,16 +139,43 @@
     }
     const kind = task.job?.kind ?? ''
     const share = task.resources.cpuMillis / Math.max(1, worker.capacity.cpuMillis)
-    const after = new Map(profile.shares).set(kind, (profile.shares.get(kind) ?? 0) + share)
     let harm = this.batchHarm(profile.shares, kind, share) * weighting.throughput
+    harm += OVER_BUDGET * this.overBudget(plan, task, worker)
+    for (const [service, load] of profile.loads) {
+      const added = this.model.coefficient(`service/${service}`, load, kind).mean * share
+      harm += weighting.tail * added
+    }
+    return harm
+  }
+
+  /** Expected rise beyond what the guards of the worker's services accept. */
+  private overBudget(
+    plan: plans.Plan,
+    task: waiting.WaitingTask,
+    worker: controlState.WorkerView,
+  ): number {
+    const profile = plan.soft.workers.get(worker.worker)?.profile
+    if (profile === undefined || task.job === undefined) return 0
+    const { kind } = task.job
+    const share = task.resources.cpuMillis / Math.max(1, worker.capacity.cpuMillis)
+    const after = new Map(profile.shares).set(kind, (profile.shares.get(kind) ?? 0) + share)
+    let over = 0
     for (const [service, load] of profile.loads) {
       const budget = this.budgets.budgetOf(plan.view.rules(), service)
       const { mean, deviation } = this.model.estimate(`service/${service}`, load, after)
       const expected = mean + budget.caution * deviation
-      const added = this.model.coefficient(`service/${service}`, load, kind).mean * share
-      harm += weighting.tail * added + OVER_BUDGET * Math.max(0, expected - budget.limit)
+      const before = this.model.estimate(`service/${service}`, load, profile.shares).mean
+      // What runs there already is the guard's matter; the task is held for its own part only.
+      over = Math.max(over, Math.min(expected - budget.limit, expected - before))
     }
-    return harm
+    return over
+  }
+
+  /** Harmful work may wait for a quieter worker while other work takes the room, but not for long. */
+  private mayDefer(plan: plans.Plan, task: waiting.WaitingTask): boolean {
+    if (task.job === undefined || task.job.urgent) return false
+    const sinceMs = plan.waitingSinceMs(task.subject)
+    return sinceMs === undefined || plan.nowMs - sinceMs < MAX_DEFER_MS
   }
 
   private batchHarm(shares: interference.KindShares, kind: string, share: number): number {
--- a/packages/scheduling/src/plan.ts
+++ b/packages/scheduling/src/plan.ts
@@ -20,6 +20,8 @@
   /** Tasks of the owner at a place key, with those of this decision. */
   readonly countAt: (task: waiting.WaitingTask, key: string) => number
   readonly teamUse: (team: string) => controlState.Resources
+  /** Since when the subject is reported as waiting; undefined if it is not. */
+  readonly waitingSinceMs: (subject: string) => number | undefined
   readonly assign: (worker: controlState.WorkerView, task: waiting.WaitingTask) => void
 }
 
@@ -28,6 +30,7 @@
   readonly soft: softState.SoftState
   readonly parts: options.PolicyParts
   readonly nowMs: number
+  readonly waitingSinceMs: (subject: string) => number | undefined
 }
 
 const isAllowed = (
@@ -40,7 +43,7 @@
   return !controlState.placement.placementRefusal(view.rules(), names, worker.failureDomain)
 }
 
-export const createPlan = ({ view, soft, parts, nowMs }: PlanOptions): Plan => {
+export const createPlan = ({ view, soft, parts, nowMs, waitingSinceMs }: PlanOptions): Plan => {
   const assignments: protocol.command.Assignment[] = []
   const taken = new Map<string, controlState.Resources>()
   const teams = new Map<string, controlState.Resources>()
@@ -120,6 +123,7 @@
     canPlace,
     countAt,
     teamUse,
+    waitingSinceMs,
     assign,
   }
 }
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -90,7 +90,8 @@
     softState.pruneSoftState(soft, view, nowMs)
     for (const report of signals.reports) takeReport(view, report, nowMs)
     drain.run(view, nowMs)
-    const plan = plans.createPlan({ view, soft, parts, nowMs })
+    const { sinceMs: waitingSinceMs } = tools.reports
+    const plan = plans.createPlan({ view, soft, parts, nowMs, waitingSinceMs })
     if (!signals.assigning) placement.runPlacement(plan, tools)
     return {
       assignments: plan.assignments,
--- a/packages/scheduling/src/unplaced.ts
+++ b/packages/scheduling/src/unplaced.ts
@@ -19,6 +19,7 @@
   /** Since when the subject waits. */
   readonly note: (plan: plans.Plan, task: waiting.WaitingTask, reason?: Finding) => number
   readonly placed: (subject: string) => void
+  readonly sinceMs: (subject: string) => number | undefined
   /** Drops reports of subjects that no longer wait. */
   readonly list: (view: controlState.ControlView) => readonly types.Unplaced[]
 }
@@ -107,5 +108,11 @@
     return [...reports.values()]
   }
 
-  return { isHopeless, note, placed, list }
+  return {
+    isHopeless,
+    note,
+    placed,
+    list,
+    sinceMs: (subject) => reports.get(subject)?.sinceMs,
+  }
 }
