--- a/packages/cli/src/commands/failureDomain.ts
+++ b/packages/cli/src/commands/failureDomain.ts
@@ -21,10 +21,6 @@
       'Who asks for it; becomes the comment of the rule, for example "Operations, ticket 4411"',
   })
 
-  wait = clipanion.Option.Boolean('--wait', false, {
-    description: 'Wait until it is done, for up to --timeout-ms',
-  })
-
   /** Applies the edit on the newest revision until no other operator's change comes between. */
   protected async setState(state: State): Promise<baseCommand.CommandResult> {
     const requestedBy = this.resolveOperator(this.by)
@@ -98,6 +94,10 @@
     examples: [['Take Brest out', 'ebonyweir drain brest --by "Operations, ticket 4411" --wait']],
   })
 
+  wait = clipanion.Option.Boolean('--wait', false, {
+    description: 'Wait until it is done, for up to --timeout-ms',
+  })
+
   override async run(): Promise<baseCommand.CommandResult> {
     const applied = await this.setState('out')
     if (applied.isErr() || !this.wait) return applied
@@ -125,31 +125,16 @@
     category: CATEGORY,
     description: 'Bring a failure domain back into service',
     details: `
-      Sets \`state = "in"\` in the rule of the failure domain and leaves every other rule as it is. The
-      failure domain is filled gradually. With --wait it returns when a task runs there.
+      Sets \`state = "in"\` in the rule of the failure domain and leaves every other rule as it is. Tasks that
+      run elsewhere stay there; the failure domain is filled gradually with new and waiting work.
 
-      Exit codes: 0 done, 1 refused or no task there in time, 3 conflict, 4 unreachable, 5 unknown outcome.
+      Exit codes: 0 done, 1 refused, 3 conflict, 4 unreachable, 5 unknown outcome.
     `,
     examples: [['Bring Brest back', 'ebonyweir return brest --by "Operations, ticket 4411"']],
   })
 
-  override async run(): Promise<baseCommand.CommandResult> {
-    const applied = await this.setState('in')
-    if (applied.isErr() || !this.wait) return applied
-    return this.waitFor(
-      async () => {
-        const status = await this.readStatus()
-        if (status.isErr()) return status
-        const tasks = status.value?.runningTasks ?? 0
-        return tasks > 0
-          ? results.Ok({
-              ...applied.value,
-              text: `${applied.value.text}${tasks} tasks run there\n`,
-            })
-          : undefined
-      },
-      () => `no task runs in ${this.failureDomain}`,
-    )
+  override run(): Promise<baseCommand.CommandResult> {
+    return this.setState('in')
   }
 }
 
--- a/scripts/quickstart.mjs
+++ b/scripts/quickstart.mjs
@@ -15,7 +15,7 @@
 
 const say = (text) => process.stdout.write(`${text}\n`)
 const title = (text) => say(`\n== ${text}`)
-const indent = (text) => say(text.trimEnd().replace(/^/gmu, '   '))
+const indent = (text) => say(text.trimEnd().replace(/^(?=.)/gmu, '   '))
 
 /** Runs a program to its end with its output on this terminal. */
 const mustRun = (command, args) => {
@@ -67,11 +67,18 @@
   }
 }
 
+const endpointOf = (body) => {
+  try {
+    return JSON.parse(body).endpoint
+  } catch {
+    return 'none'
+  }
+}
+
 const showQuote = (answer) => {
   say(`$ curl ${answer.url}`)
-  indent(
-    `${answer.status} ${answer.outcome} after ${answer.tookMs.toFixed(0)} ms: ${answer.body.slice(0, 200)}`,
-  )
+  const { status, outcome, tookMs, body } = answer
+  indent(`${status} ${outcome} by ${endpointOf(body)} after ${tookMs.toFixed(0)} ms`)
 }
 
 const requireAnswered = (answer) => {
@@ -125,8 +132,8 @@
   const job = ['fitting-0918', '--team', 'workshop', '--kind', 'fitting-plan', '--tasks', '6']
   await tool.show('job', 'submit', ...job, ...size, '--command', 'run=8000', '--by', 'Yann Le Goff')
   await processes.waitFor('fitting-0918 runs', async () => {
-    const { state } = await tool.ask('job', 'status', 'fitting-0918')
-    return state === 'running'
+    const { runningTasks } = await tool.ask('job', 'status', 'fitting-0918')
+    return runningTasks > 0
   })
   const by = ['--by', 'Operations, ticket 4411']
   await tool.show('drain', 'brest', ...by, '--wait', '--timeout-ms', '60000')
@@ -140,8 +147,15 @@
   )
   await tool.show('explain', 'brest')
   title('Brest comes back')
-  await tool.show('return', 'brest', ...by, '--wait', '--timeout-ms', '90000')
+  await tool.show('return', 'brest', ...by)
   await tool.show('job', 'status', 'fitting-0918', '--wait', '--timeout-ms', '90000')
+  await tool.show('job', 'submit', 'fitting-0919', ...job.slice(1), ...size, '--by', 'Yann Le Goff')
+  const tasks = await processes.waitFor('a task runs in brest again', async () => {
+    const status = await tool.ask('status')
+    return status.failureDomains.find((one) => one.failureDomain === 'brest').runningTasks
+  })
+  indent(`tasks in brest: ${tasks}`)
+  await tool.show('job', 'status', 'fitting-0919', '--wait', '--timeout-ms', '90000')
 }
 
 const showCommands = (entries, env, folder) => {
