--- a/scripts/quickstart.mjs
+++ b/scripts/quickstart.mjs
@@ -229,4 +229,5 @@
   return 0
 }
 
-process.exitCode = await main()
+// A step that was interrupted may still wait for an answer.
+process.exit(await main())
--- a/scripts/quickstart/processes.mjs
+++ b/scripts/quickstart/processes.mjs
@@ -51,10 +51,15 @@
 /** Creates the set of processes of one run; their output goes to files in `logFolder`. */
 export const createProcesses = (root, logFolder) => {
   const running = new Map()
+  let stopping = false
 
   /** Starts a Node program and resolves with the fields of its ready line. */
   const start = (name, args) =>
     new Promise((resolve, reject) => {
+      if (stopping) {
+        reject(new Error(`${name} was not started, since everything is being stopped`))
+        return
+      }
       const log = fs.createWriteStream(path.join(logFolder, `${name}.log`))
       const child = childProcess.spawn(process.execPath, args, {
         cwd: root,
@@ -81,7 +86,7 @@
       })
     })
 
-  const stopOne = async (name, child) => {
+  const stopOne = async (child) => {
     const exited = new Promise((resolve) => child.once('exit', resolve))
     child.kill('SIGTERM')
     const timer = globalThis.setTimeout(() => child.kill('SIGKILL'), STOP_DEADLINE_MS)
@@ -93,7 +98,10 @@
     start,
     /** Ids of the processes that run. */
     pids: () => [...running.values()].map((child) => child.pid),
-    /** Ends every process by its id, gracefully at first. */
-    stopAll: () => Promise.all([...running].map(([name, child]) => stopOne(name, child))),
+    /** Ends every process by its id, gracefully at first; none can be started afterwards. */
+    stopAll: () => {
+      stopping = true
+      return Promise.all([...running.values()].map(stopOne))
+    },
   }
 }
