fix(control): status names quarantined workers

Cause: a worker that fails everything was kept from new work but stayed "ready" in GET /v1/status, so that operators could not see why.

Change: the status asks the scheduler's quarantine rule; scheduling exports it.

Measured: faults/workers.spec.ts "a worker that fails everything" failed with 'ready' before and passes with the change.

--- a/packages/control/src/statusRoutes.ts
+++ b/packages/control/src/statusRoutes.ts
@@ -2,6 +2,7 @@
 import type * as controlState from '@ebonyweir/control-state'
 import type * as protocol from '@ebonyweir/protocol'
 import * as rules from '@ebonyweir/rules'
+import * as scheduling from '@ebonyweir/scheduling'
 import type * as context from './context.js'
 import type * as httpRouter from './httpRouter.js'
 import * as jobRoutes from './jobRoutes.js'
@@ -82,7 +83,8 @@
   const nowMs = ctx.nowMs()
   if (term.sessions.isLost(worker.worker, nowMs)) return 'lost'
   const lastSyncAtMs = term.sessions.get(worker.worker)?.lastSyncAtMs ?? term.electedAtMs
-  return nowMs - lastSyncAtMs > SILENT_AFTER_MS ? 'silent' : 'ready'
+  if (nowMs - lastSyncAtMs > SILENT_AFTER_MS) return 'silent'
+  return scheduling.quarantine.isQuarantined(worker) ? 'quarantined' : 'ready'
 }
 
 const workerStatus = (
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -8,3 +8,4 @@
   type SchedulerOptions,
   type VictimKind,
 } from './options.js'
+export * as quarantine from './quarantine.js'
