--- a/packages/stand-ins/src/testSystem.ts
+++ b/packages/stand-ins/src/testSystem.ts
@@ -61,6 +61,8 @@
   readonly cutOff: (replica: systemProcess.ControlProcess, action: 'drop' | 'hold') => void
   /** Ends every cut. */
   readonly reconnect: () => void
+  /** All records so far, in order. */
+  readonly records: () => readonly record.ObserverRecord[]
   readonly audit: (options?: audits.AuditOptions) => audits.AuditResult
   /** Ends every process by its id and removes the folder. */
   readonly stop: () => Promise<void>
@@ -127,6 +129,8 @@
         return control.find((replica) => replica.httpRelay.address === found?.httpAddress)
       })
 
+    const records = () => record.readRecords(path.join(folder, 'records'))
+
     const cutOff = (replica: systemProcess.ControlProcess, action: 'drop' | 'hold') => {
       replica.httpRelay.change({ action })
       replica.grpcRelay.change({ action })
@@ -171,8 +175,8 @@
       reconnect: () => {
         for (const relay of context.relays) relay.change({ action: 'pass' })
       },
-      audit: (auditOptions) =>
-        audits.audit(record.readRecords(path.join(folder, 'records')), auditOptions),
+      records,
+      audit: (auditOptions) => audits.audit(records(), auditOptions),
       stop,
     }
   } catch (error) {
