feat(bench): bench:capacity, and a cut-off worker

Cause: docs/CAPACITY.md needs slopes; a silent worker beyond its lease had no test.

Change: npm run bench:capacity measures leader, agent and entry at four or more sizes with linear fits and residuals; a fault test cuts a worker off silently until its lease has ended by its own clock.

--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,29 @@
+/** `npm run bench:capacity`: slopes of processor time, memory and bytes by size. */
+import * as report from './report.js'
+import * as scenarios from './scenarios.js'
+
+const measureEach = async (
+  sizes: readonly number[],
+  measure: (size: number) => Promise<report.Row>,
+): Promise<readonly report.Row[]> => {
+  const rows: report.Row[] = []
+  for (const size of sizes) rows.push(await measure(size))
+  return rows
+}
+
+const wanted = new Set(process.argv.slice(2))
+const isWanted = (name: string): boolean => wanted.size === 0 || wanted.has(name)
+const print = (text: string) => process.stdout.write(`${text}\n`)
+
+if (isWanted('requests')) {
+  const rows = await measureEach([0, 50, 100, 200, 400], scenarios.measureRequests)
+  print(report.renderTable('Agent and entry by requests a second', 'requestsPerSecond', rows))
+}
+if (isWanted('configuration')) {
+  const rows = await measureEach([50, 100, 200, 400], scenarios.measureConfiguration)
+  print(report.renderTable('Configuration change by syncing clients', 'clients', rows))
+}
+if (isWanted('workers')) {
+  const rows = await measureEach([10, 100, 1000, 3000], scenarios.measureWorkers)
+  print(report.renderTable('Control leader by workers', 'workers', rows))
+}
--- a/packages/stand-ins/__tests__/faults/workers.spec.ts
+++ b/packages/stand-ins/__tests__/faults/workers.spec.ts
@@ -20,7 +20,10 @@
   interface Case {
     readonly name: string
     readonly flags?: standIns.systemProcess.StandInFlags
-    readonly fault: (worker: standIns.systemProcess.StandIn) => Promise<void>
+    readonly fault: (
+      worker: standIns.systemProcess.StandIn,
+      system: support.System,
+    ) => Promise<void>
     readonly expected: support.Rules
   }
   const freeze: Case['fault'] = async (worker) => {
@@ -42,6 +45,16 @@
       },
       expected: [],
     },
+    {
+      name: 'a worker that is cut off silently: it stops everything by its own clock',
+      fault: async (worker, system) => {
+        const clients = [worker.process().pid]
+        for (const { httpRelay } of system.control) httpRelay.change({ action: 'hold', clients })
+        await sleep(BEYOND_LEASE_MS)
+        system.reconnect()
+      },
+      expected: [],
+    },
     {
       name: 'a worker that freezes beyond its lease and resumes: it stops everything first',
       fault: freeze,
@@ -66,7 +79,7 @@
         const statuses = await Promise.all(workers.map(support.statusOf))
         const victim = workers[statuses.findIndex((s) => s.running.length > 0)]
         if (victim === undefined) throw new Error('no worker runs a task')
-        await fault(victim)
+        await fault(victim, system)
         await support.waitForJob(system, 'fitting-long', 'completed', 90_000)
       })
       expect([...new Set(result.findings.map((f) => f.rule))]).toEqual(expected)
