--- a/packages/control/src/statusRoutes.ts
+++ b/packages/control/src/statusRoutes.ts
@@ -84,7 +84,7 @@
   if (term.sessions.isLost(worker.worker, nowMs)) return 'lost'
   const lastSyncAtMs = term.sessions.get(worker.worker)?.lastSyncAtMs ?? term.electedAtMs
   if (nowMs - lastSyncAtMs > SILENT_AFTER_MS) return 'silent'
-  return scheduling.quarantine.isQuarantined(worker) ? 'quarantined' : 'ready'
+  return scheduling.isQuarantined(worker) ? 'quarantined' : 'ready'
 }
 
 const workerStatus = (
