--- a/packages/experiment/src/batch/simulation.ts
+++ b/packages/experiment/src/batch/simulation.ts
@@ -133,8 +133,7 @@
   }
 
   const runEvents = (): void => {
-    for (; (arrivals[next]?.atMs ?? Infinity) <= nowMs; next += 1)
-      submit(arrivals[next]!)
+    for (; (arrivals[next]?.atMs ?? Infinity) <= nowMs; next += 1) submit(arrivals[next]!)
     for (const atMs of scenario.cancelAtMs) trigger(atMs, cancelWave)
     if (scenario.domainOut === null) return
     const [outMs, backMs] = scenario.domainOut
