feat(entry): a resend under a key in progress gets the answer that the agent keeps

Cause: after an entry died, resends with its key got 409 for five minutes although the agent held the finished answer; and an unconfirmed claim said not run although an earlier request with the key may have run. Change: Resolve has a peek that fences nothing; a resend asks the agents of the service, waits for a running request and settles the claim in place of the lost entry; claim-failed answers 502 unknown. The claims spec expects the first answer in place of 409, and unknown in place of not run: both are stricter for the caller.

--- a/packages/agent/__tests__/execution.spec.ts
+++ b/packages/agent/__tests__/execution.spec.ts
@@ -65,8 +65,8 @@
       },
     })
   }
-  const resolve = (requestId: string): protocol.agent.ResolveState | undefined =>
-    input({ kind: 'resolve', requestId, incarnation: INCARNATION }).find(
+  const resolve = (requestId: string, peek = false): protocol.agent.ResolveState | undefined =>
+    input({ kind: 'resolve', requestId, incarnation: INCARNATION, peek }).find(
       (effect) => effect.kind === 'resolved',
     )?.state
   const end = (requestId: string, result = answer()): void => {
@@ -287,3 +287,32 @@
     expect(driven.ran).toEqual(['f1', 'f2', 'r'])
   })
 })
+
+describe('peek', () => {
+  const { ResolveState } = protocol.agent
+  const cases: readonly (readonly [
+    string,
+    (d: Driven) => void,
+    protocol.agent.ResolveState,
+    number,
+  ])[] = [
+    ['an unknown request', () => undefined, ResolveState.RESOLVED_UNKNOWN, 1],
+    [
+      'a running request',
+      (d) => {
+        d.execute('r')
+      },
+      ResolveState.RESOLVED_RUNNING,
+      1,
+    ],
+  ]
+
+  // Guards against a resend's question that fences the request it asks about.
+  test.each(cases)('%s is not fenced', (_name, before, expected, runs) => {
+    const driven = drive()
+    before(driven)
+    expect(driven.resolve('r', true)).toBe(expected)
+    driven.execute('r')
+    expect(times(driven, 'r')).toBe(runs)
+  })
+})
--- a/packages/agent/__tests__/golden.spec.ts
+++ b/packages/agent/__tests__/golden.spec.ts
@@ -58,7 +58,12 @@
     case 'execute':
       return { kind: 'execute', request: execute(id, more, nowMs) }
     case 'resolve':
-      return { kind: 'resolve', requestId: id, incarnation: Number(more[0] ?? INCARNATION) }
+      return {
+        kind: 'resolve',
+        requestId: id,
+        incarnation: Number(more[0] ?? INCARNATION),
+        peek: false,
+      }
     case 'ended': {
       const body = Buffer.from(more.join(' '))
       const value = { status: 200, headers: [], body, endpoint: 'a' }
--- a/packages/agent/src/agentService.ts
+++ b/packages/agent/src/agentService.ts
@@ -68,7 +68,7 @@
       host.run(host.step({ kind: 'execute', request }))
     },
     resolve: (call, callback) => {
-      const { requestId, agentIncarnation, cell } = call.request
+      const { requestId, agentIncarnation, cell, peek } = call.request
       const unknown = {
         requestId,
         state: protocol.agent.ResolveState.RESOLVED_UNKNOWN,
@@ -78,7 +78,7 @@
         callback(null, unknown)
         return
       }
-      const effects = host.step({ kind: 'resolve', requestId, incarnation: agentIncarnation })
+      const effects = host.step({ kind: 'resolve', requestId, incarnation: agentIncarnation, peek })
       const resolved = effects.find((effect) => effect.kind === 'resolved')
       const result = resolved?.result
       callback(null, {
--- a/packages/agent/src/execution.ts
+++ b/packages/agent/src/execution.ts
@@ -13,7 +13,13 @@
   | { readonly kind: 'config'; readonly untilMs: number; readonly outDetail: string }
   | { readonly kind: 'execute'; readonly request: ExecuteInput }
   | { readonly kind: 'cancel'; readonly requestId: string }
-  | { readonly kind: 'resolve'; readonly requestId: string; readonly incarnation: number }
+  | {
+      readonly kind: 'resolve'
+      readonly requestId: string
+      readonly incarnation: number
+      /** Only asks: changes nothing. */
+      readonly peek: boolean
+    }
   | { readonly kind: 'confirm'; readonly requestIds: readonly string[] }
   | { readonly kind: 'ended'; readonly requestId: string; readonly result: Result }
   | { readonly kind: 'tick' }
@@ -219,8 +225,7 @@
 
 const resolve = (
   state: State,
-  requestId: string,
-  incarnation: number,
+  { requestId, incarnation, peek }: Extract<Input, { kind: 'resolve' }>,
   nowMs: number,
 ): readonly Effect[] => {
   if (incarnation !== state.incarnation) {
@@ -235,6 +240,11 @@
     const result = settlement.resultOf(state, requestId)
     return [{ kind: 'resolved', state: ResolveState.RESOLVED_FINISHED, result }]
   }
+  if (peek) {
+    const isQueued = active !== undefined
+    const found = isQueued ? ResolveState.RESOLVED_RUNNING : ResolveState.RESOLVED_UNKNOWN
+    return [{ kind: 'resolved', state: found }]
+  }
   const effects: Effect[] = []
   if (active !== undefined) {
     state.active.delete(requestId)
@@ -325,7 +335,7 @@
     case 'cancel':
       return cancel(state, input.requestId)
     case 'resolve':
-      return resolve(state, input.requestId, input.incarnation, nowMs)
+      return resolve(state, input, nowMs)
     case 'confirm':
       for (const id of input.requestIds) settlement.confirm(state, id)
       return []
--- a/packages/entry/__tests__/claims.spec.ts
+++ b/packages/entry/__tests__/claims.spec.ts
@@ -56,13 +56,13 @@
   })
 
   // Guards against two runs of one key at the same time, and against a key used for other work.
-  test('a resend while the first runs is refused; another body is a mismatch', async () => {
+  test('a resend while the first runs gets its answer; another body is a mismatch', async () => {
     endpoint.delayMs = 300
     const running = cells.call(first, keyed('k'))
     await cells.until(() => endpoint.running === 1)
     const resent = await cells.call(second, keyed('k'))
     const other = await cells.call(second, keyed('k', 'other'))
-    expect([resent.status, resent.outcome]).toEqual([409, 'unknown'])
+    expect([resent.status, resent.outcome]).toEqual([200, 'answered'])
     expect([other.status, other.outcome]).toEqual([422, 'not-run'])
     expect((await running).outcome).toBe('answered')
     expect(endpoint.ran.length).toBe(1)
@@ -75,7 +75,7 @@
     cell.control.loseClaimReplies = false
     await settled()
     const resent = await cells.call(second, keyed('k'))
-    expect([refused.status, refused.outcome]).toEqual([503, 'not-run'])
+    expect([refused.status, refused.outcome]).toEqual([502, 'unknown'])
     expect(resent.outcome).toBe('answered')
     expect(endpoint.ran.length).toBe(1)
   })
--- a/packages/entry/src/agentConnection.ts
+++ b/packages/entry/src/agentConnection.ts
@@ -174,7 +174,7 @@
     execute: (request, timeoutMs) =>
       stamp === undefined ? undefined : execute(request, timeoutMs, stamp),
     resolve: async (requestId, agentIncarnation, timeoutMs) =>
-      resolveAt(address, { cell: host.cell, requestId, agentIncarnation }, timeoutMs),
+      resolveAt(address, { cell: host.cell, requestId, agentIncarnation, peek: false }, timeoutMs),
     close: () => {
       closed = true
       clearTimeout(timer)
--- a/packages/entry/src/claims.ts
+++ b/packages/entry/src/claims.ts
@@ -2,6 +2,7 @@
 import type * as controlClient from '@ebonyweir/control-client'
 import * as protocol from '@ebonyweir/protocol'
 import * as agentConnection from './agentConnection.js'
+import type * as directory from './directory.js'
 import * as serviceRequest from './serviceRequest.js'
 
 type Request = serviceRequest.ServiceRequest
@@ -21,6 +22,7 @@
   readonly entry: string
   readonly control: controlClient.controlClient.ControlClient
   readonly resolveTimeoutMs: number
+  readonly agentsOf: (service: string) => readonly directory.AgentLocation[]
   readonly logger: controlClient.logger.Logger
 }
 
@@ -30,6 +32,9 @@
 const SETTLE_RETRY_MS = 500
 /** Settlements under way; above it further ones are left to the leader, which settles as unknown. */
 const MAX_SETTLING = 10_000
+/** Agents that are asked for a request that another entry holds. */
+const MAX_ASKED_AGENTS = 64
+const IN_PROGRESS_POLL_MS = 200
 
 const { ClaimState } = protocol.control
 const { ClaimOutcome } = protocol.command
@@ -57,7 +62,7 @@
   ): Promise<protocol.agent.Answer | undefined> => {
     const { agentAddress, agentIncarnation, requestId } = reply
     if (agentAddress === '') return undefined
-    const request = { cell: host.cell, requestId, agentIncarnation }
+    const request = { cell: host.cell, requestId, agentIncarnation, peek: false }
     const resolved = await agentConnection.resolveAt(agentAddress, request, host.resolveTimeoutMs)
     if (resolved.isErr()) return undefined
     const result = resolved.value.result?.result
@@ -84,6 +89,49 @@
     }
   }
 
+  const peekAt = async (
+    agent: directory.AgentLocation,
+    requestId: string,
+  ): Promise<{
+    readonly agent: directory.AgentLocation
+    readonly reply: protocol.agent.ResolveReply | undefined
+  }> => {
+    const request = { cell: host.cell, requestId, agentIncarnation: agent.incarnation, peek: true }
+    const reply = await agentConnection.resolveAt(agent.address, request, host.resolveTimeoutMs)
+    return { agent, reply: reply.isOk() ? reply.value : undefined }
+  }
+
+  /**
+   * Finds the answer of a request that another entry dispatched. That entry may be gone, and the agent
+   * keeps the answers of keyed requests; the claim is then settled in its place.
+   */
+  const followInProgress = async (
+    request: Request,
+    requestId: string,
+  ): Promise<serviceRequest.RequestResult> => {
+    let asked = host.agentsOf(request.service).slice(0, MAX_ASKED_AGENTS)
+    while (
+      asked.length > 0 &&
+      performance.now() < request.deadlineMs &&
+      !request.cancelled.aborted
+    ) {
+      const found = await Promise.all(asked.map((agent) => peekAt(agent, requestId)))
+      for (const { agent, reply } of found) {
+        const result = reply?.result?.result
+        if (result?.$case !== 'answer') continue
+        const answer = { kind: 'answer', answer: result.value, by: agent } as const
+        settle({ ...request, requestId }, answer)
+        return answer
+      }
+      asked = found
+        .filter(({ reply }) => reply?.state === protocol.agent.ResolveState.RESOLVED_RUNNING)
+        .map(({ agent }) => agent)
+      if (asked.length > 0) await pause(IN_PROGRESS_POLL_MS)
+    }
+    const detail = 'a request with this key is in progress'
+    return serviceRequest.unknown('claim-in-progress', detail)
+  }
+
   const settleOnce = async (request: Request, result: serviceRequest.RequestResult) =>
     host.control.settle(
       {
@@ -135,9 +183,9 @@
       )
       if (reply.isErr()) {
         // The claim may have been committed; it is freed, since the request will not be dispatched.
-        const failure = serviceRequest.notRun('claim-failed', reply.error.detail)
-        settle(request, failure)
-        return failure
+        settle(request, serviceRequest.notRun('claim-failed', reply.error.detail))
+        // This request did not run, but an earlier one with the same key may have.
+        return serviceRequest.unknown('claim-failed', reply.error.detail)
       }
       const { state, requestId } = reply.value
       if (state === ClaimState.GRANTED && requestId === request.requestId) return undefined
@@ -146,8 +194,7 @@
         const detail = 'the key was used with another method, path or body'
         return serviceRequest.notRun('claim-mismatch', detail)
       }
-      const detail = 'a request with this key is in progress'
-      return serviceRequest.unknown('claim-in-progress', detail)
+      return followInProgress(request, requestId)
     },
     settle,
     drain: async (timeoutMs) => {
--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -12,6 +12,13 @@
   readonly connection: agentConnection.AgentConnection
 }
 
+/** Where an agent is reached. */
+export interface AgentLocation {
+  readonly agent: string
+  readonly address: string
+  readonly incarnation: number
+}
+
 /** Agents and endpoints that this entry instance knows, with a connection to each agent. */
 export interface Directory {
   readonly knownEpoch: () => number
@@ -21,6 +28,8 @@
   readonly refresh: (nowMs: number) => void
   readonly locate: (endpointId: string) => EndpointLocation | undefined
   readonly agents: () => number
+  /** Agents that announced an endpoint of the service. */
+  readonly agentsOf: (service: string) => readonly AgentLocation[]
   readonly close: () => void
 }
 
@@ -156,6 +165,10 @@
     refresh,
     locate: (endpointId) => locations.get(endpointId),
     agents: () => agents.size,
+    agentsOf: (service) =>
+      [...agents.values()]
+        .filter(({ record }) => record.endpoints.some((e) => e.service === service))
+        .map(({ record: { agent, address, incarnation } }) => ({ agent, address, incarnation })),
     close: () => {
       for (const name of [...agents.keys()]) drop(name)
     },
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -70,6 +70,7 @@
     entry: resolved.name,
     control,
     resolveTimeoutMs: resolved.resolveTimeoutMs,
+    agentsOf: (service) => known.agentsOf(service),
     logger,
   })
   let requests = 0
--- a/packages/entry/src/reply.ts
+++ b/packages/entry/src/reply.ts
@@ -8,7 +8,7 @@
 const STATUS_OF_REASON: Readonly<Record<serviceRequest.FailureReason, number>> = {
   'agent-refused': 503,
   cancelled: 499,
-  'claim-failed': 503,
+  'claim-failed': 502,
   'claim-in-progress': 409,
   'claim-mismatch': 422,
   'claim-settled': 409,
--- a/packages/stand-ins/__tests__/faults/requests.spec.ts
+++ b/packages/stand-ins/__tests__/faults/requests.spec.ts
@@ -196,13 +196,17 @@
         fault(system)
         await sleep(2500)
         // The claim stays with the lost entry for minutes, so an answer may say "in progress" or "unknown".
+        let answered = 0
         for (let round = 0; round < 3; round++) {
           const resent = requests.map((r) => caller.send({ ...r, entry: two.httpAddress }))
           for (const answer of await Promise.all(resent)) {
+            if (answer.status === 200) answered += 1
             expect([200, 409, 502]).toContain(answer.status)
             expect(answer.outcome).not.toBe('not-run')
           }
         }
+        // The agents keep the answers, so a lost entry must not keep callers from them.
+        expect(answered).toBeGreaterThan(0)
         await Promise.all(started)
       })
       support.expectKept(result, 'requestSent', 'executionStarted')
