--- /dev/null
+++ b/packages/stand-ins/src/relay.ts
@@ -0,0 +1,171 @@
+/** TCP relay whose connections go silent on command, as when a network loses their state. */
+import * as net from 'node:net'
+import * as json from './json.js'
+
+/** What a relay does with the bytes that it receives. */
+export interface RelayMode {
+  /**
+   * `pass` forwards; `drop` discards and never forwards on that connection again; `hold` keeps the
+   * bytes and forwards them once the relay passes again.
+   */
+  readonly action: 'pass' | 'drop' | 'hold'
+  /** @default 'both' */
+  readonly direction?: 'both' | 'toTarget' | 'toClient'
+  /** `old`: only connections that exist now; new ones pass. @default 'all' */
+  readonly scope?: 'all' | 'old'
+  /** Only connections of these clients, as `clientOf` names them. @default all */
+  readonly clients?: readonly number[]
+}
+
+/** Options of a relay. */
+export interface RelayOptions {
+  /** Where connections are forwarded, "host:port". */
+  readonly target: string
+  /** @default 0, a free port */
+  readonly port?: number
+  /** Names the client of a connection by its port, for example by process id. @default 0 */
+  readonly clientOf?: (clientPort: number) => number | undefined
+}
+
+/** A running relay. */
+export interface Relay {
+  readonly port: number
+  readonly address: string
+  readonly change: (mode: RelayMode) => void
+  /** Where new connections go from now on. */
+  readonly retarget: (target: string) => void
+  readonly status: () => {
+    readonly connections: number
+    readonly bytesToTarget: number
+    readonly bytesToClient: number
+  }
+  readonly close: () => void
+}
+
+type Action = RelayMode['action']
+
+interface Pipe {
+  action: Action
+  /** True once bytes were discarded: the stream can't be continued. */
+  dead: boolean
+  held: Buffer[]
+  ended: boolean
+  readonly to: net.Socket
+}
+
+interface Pair {
+  readonly client: number | undefined
+  readonly toTarget: Pipe
+  readonly toClient: Pipe
+  readonly close: () => void
+}
+
+const createPipe = (to: net.Socket, action: Action): Pipe => ({
+  action,
+  dead: false,
+  held: [],
+  ended: false,
+  to,
+})
+
+const push = (pipe: Pipe, chunk: Buffer) => {
+  if (pipe.dead) return
+  if (pipe.action === 'drop') pipe.dead = true
+  else if (pipe.action === 'hold') pipe.held.push(chunk)
+  else pipe.to.write(chunk)
+}
+
+const finish = (pipe: Pipe) => {
+  if (pipe.dead || pipe.action === 'drop') return
+  if (pipe.action === 'hold') pipe.ended = true
+  else pipe.to.destroySoon()
+}
+
+const setAction = (pipe: Pipe, action: Action) => {
+  pipe.action = action
+  if (action !== 'pass' || pipe.dead) return
+  for (const chunk of pipe.held.splice(0)) pipe.to.write(chunk)
+  if (pipe.ended) pipe.to.destroySoon()
+}
+
+/** Starts a relay on loopback. */
+export const createRelay = async (options: RelayOptions): Promise<Relay> => {
+  let target = options.target
+  const pairs = new Set<Pair>()
+  let forNew: RelayMode = { action: 'pass' }
+  let bytesToTarget = 0
+  let bytesToClient = 0
+
+  const actionFor = (
+    mode: RelayMode,
+    direction: 'toTarget' | 'toClient',
+    client: number | undefined,
+  ): Action => {
+    const concerned = mode.clients === undefined || mode.clients.includes(client ?? 0)
+    const along = mode.direction === undefined || mode.direction === 'both'
+    return concerned && (along || mode.direction === direction) ? mode.action : 'pass'
+  }
+
+  const join = (client: net.Socket) => {
+    const [host, port] = target.split(':')
+    const clientName = options.clientOf?.(client.remotePort ?? 0)
+    const outgoing = net.connect(Number(port), host)
+    const toTarget = createPipe(outgoing, actionFor(forNew, 'toTarget', clientName))
+    const toClient = createPipe(client, actionFor(forNew, 'toClient', clientName))
+    const pair: Pair = {
+      client: clientName,
+      toTarget,
+      toClient,
+      close: () => {
+        client.destroy()
+        outgoing.destroy()
+      },
+    }
+    pairs.add(pair)
+    const forget = () => {
+      if (client.destroyed && outgoing.destroyed) pairs.delete(pair)
+    }
+    client.setNoDelay(true)
+    outgoing.setNoDelay(true)
+    client.on('data', (chunk: Buffer) => {
+      bytesToTarget += chunk.length
+      push(toTarget, chunk)
+    })
+    outgoing.on('data', (chunk: Buffer) => {
+      bytesToClient += chunk.length
+      push(toClient, chunk)
+    })
+    client.on('error', () => undefined)
+    outgoing.on('error', () => undefined)
+    client.on('close', () => {
+      finish(toTarget)
+      forget()
+    })
+    outgoing.on('close', () => {
+      finish(toClient)
+      forget()
+    })
+  }
+
+  const server = net.createServer(join)
+  const bound = await json.listen(server, options.port ?? 0)
+  return {
+    port: bound,
+    address: `127.0.0.1:${bound}`,
+    change: (mode) => {
+      forNew = mode.scope === 'old' ? { action: 'pass' } : mode
+      for (const pair of pairs) {
+        setAction(pair.toTarget, actionFor(mode, 'toTarget', pair.client))
+        setAction(pair.toClient, actionFor(mode, 'toClient', pair.client))
+      }
+    },
+    retarget: (next) => {
+      target = next
+    },
+    status: () => ({ connections: pairs.size, bytesToTarget, bytesToClient }),
+    close: () => {
+      server.close()
+      for (const pair of pairs) pair.close()
+    },
+  }
+}
