feat(model-check): worker lease with clock drift against reassignment

Cause: whether a task can run in two places when a leader gives it away was shown only by runs with processes.

Change: a model of one worker, delayed syncs and replies and a new leader, with the sessions of the control role as production code.

--- /dev/null
+++ b/packages/model-check/__tests__/lease.spec.ts
@@ -0,0 +1,25 @@
+import * as vitest from 'vitest'
+import * as modelCheck from '@ebonyweir/model-check'
+
+const { expect, test } = vitest
+
+const explore = (options: modelCheck.LeaseOptions) =>
+  modelCheck.explore(modelCheck.createLeaseModel(options), {
+    maxStates: 150_000,
+    nowMs: () => performance.now(),
+  })
+
+// Guards against a task that a leader gives away while its old worker still has a lease.
+test('a worker has stopped before its task is reassigned', () => {
+  const result = explore(modelCheck.leaseOptions.production)
+  expect(result.violation).toBeUndefined()
+  expect(result.complete).toBe(true)
+})
+
+// Guards against a model that would not notice the loss of one of the rules.
+test.each([['withoutMargin'], ['withoutWait'], ['fromReply']] as const)(
+  'a task runs twice %s',
+  (name) => {
+    expect(explore(modelCheck.leaseOptions[name]).violation).toBeDefined()
+  },
+)
