feat(replica): move the transfer of leadership into a module of its own

Cause: the assembly of a replica was one long function.

Change: transfer.ts holds the transfer and its wait; behaviour is unchanged.

--- a/packages/replica/src/replica.ts
+++ b/packages/replica/src/replica.ts
@@ -5,6 +5,7 @@
 import * as engines from './engine.js'
 import * as proposalQueues from './proposals.js'
 import * as status from './status.js'
+import * as transfers from './transfer.js'
 import type * as types from './types.js'
 
 /** Interval at which timeouts are checked. */
@@ -81,27 +82,8 @@
     if (!engine.halted) cancelTick = clock.setTimer(tickMs, tick)
   }
 
-  const transferLeadership = (target?: string): Promise<boolean> => {
-    if (engine.state.role !== 'leader') return Promise.resolve(leadership().leader !== undefined)
-    engine.run({ kind: 'transfer', target })
-    if (engine.state.transfer === undefined) return Promise.resolve(false)
-    return new Promise((resolve) => {
-      const finish = (done: boolean): void => {
-        watchers.delete(watcher)
-        cancelTimer()
-        resolve(done)
-      }
-      const watcher = (): void => {
-        const { role, leader } = leadership()
-        if (engine.halted) finish(false)
-        else if (role !== 'leader' && leader !== undefined) finish(true)
-      }
-      const cancelTimer = clock.setTimer(engine.state.config.electionTimeoutMaxMs, () => {
-        finish(false)
-      })
-      watchers.add(watcher)
-    })
-  }
+  const transferLeadership = (target?: string): Promise<boolean> =>
+    transfers.transferLeadership({ engine, clock, watchers, leadership }, target)
 
   const changeMembers: types.Replica<Outcome>['changeMembers'] = (change) =>
     new Promise((resolve) => {
