fix(scheduling): drop reservations that no longer make room; evict later for a guard

Cause: a reservation on a worker whose tasks cannot be evicted any more was renewed for ever; a guard evicted tasks that a little later would have been allowed to run.

Change: a reservation is given up when evictions no longer make room; a guard evicts after 12 s and aims at the whole accepted rise without weight of the tail; the stand-in confirms starts that are withdrawn.

--- a/packages/experiment/src/batch/machine.ts
+++ b/packages/experiment/src/batch/machine.ts
@@ -64,6 +64,8 @@
   readonly running: ReadonlyMap<string, RunningTask>
   readonly start: (task: RunningTask) => void
   readonly stop: (task: string) => void
+  /** Confirms that an attempt will not start; `keptMs` is its progress so far. */
+  readonly refuse: (task: string, attempt: number, keptMs: number) => void
   readonly checkpoint: (task: string, nowMs: number) => void
   readonly throttle: (task: string, cpuPercent: number) => void
   /** Advances by a step; `load` is the load of each of its runners. */
@@ -202,6 +204,8 @@
       const task = running.get(id)
       if (task !== undefined) end(task, 'CANCELLED', task.startMs)
     },
+    refuse: (task, attempt, keptMs) =>
+      void ended.push({ task, attempt, outcome: 'CANCELLED', keptMs }),
     checkpoint: (id, nowMs) => {
       const task = running.get(id)
       if (task !== undefined) task.checkpointAtMs ??= nowMs + CHECKPOINT_MS
--- a/packages/experiment/src/batch/simulation.ts
+++ b/packages/experiment/src/batch/simulation.ts
@@ -203,6 +203,7 @@
       const isRunning = machine.running.has(task.task)
       const isLeaving = stops.has(task.task) || evicted.has(task.task)
       if (!isRunning && !isLeaving) startTask(machine, task)
+      else if (!isRunning) machine.refuse(task.task, task.attempt, kept.get(task.task) ?? 0)
       else if (stops.has(task.task)) machine.stop(task.task)
       else if (evicted.has(task.task)) machine.checkpoint(task.task, nowMs)
       else machine.throttle(task.task, throttles.get(task.task) ?? 100)
--- a/packages/scheduling/src/budgets.ts
+++ b/packages/scheduling/src/budgets.ts
@@ -8,7 +8,7 @@
 const DEFAULT_MAX_SLOWDOWN = 1.5
 
 /** Part of the accepted rise that is aimed at when the tail has no weight; the rest is reserve. */
-const LARGEST_MARGIN = 0.9
+const LARGEST_MARGIN = 1
 
 /** Reduction of that part when the tail has full weight. */
 const MARGIN_PER_TAIL = 0.3
--- a/packages/scheduling/src/guard.ts
+++ b/packages/scheduling/src/guard.ts
@@ -10,7 +10,7 @@
 import * as victims from './victims.js'
 
 /** Time for which throttling to the floor has to be insufficient before a task is evicted. */
-const EVICT_AFTER_MS = 5_000
+const EVICT_AFTER_MS = 12_000
 
 /** Least time between two evictions for a guard on one worker. */
 const EVICTION_DWELL_MS = 10_000
--- a/packages/scheduling/src/preemption.ts
+++ b/packages/scheduling/src/preemption.ts
@@ -115,8 +115,9 @@
     for (const [worker, { subject }] of plan.soft.reservations) {
       if (subject !== task.subject) continue
       const known = plan.view.worker(worker)
-      // A worker that closed meanwhile, for example by quarantine, is given up.
-      if (known === undefined || !plan.isOpen(known, task)) {
+      // A worker that closed meanwhile, or where evictions no longer make room, is given up.
+      const isUsable = known !== undefined && plan.isOpen(known, task)
+      if (!isUsable || roomOn(plan, known, task) === undefined) {
         plan.soft.reservations.delete(worker)
         continue
       }
