--- a/packages/experiment/src/batch/main.ts
+++ b/packages/experiment/src/batch/main.ts
@@ -62,12 +62,14 @@
 const seeds = Array.from({ length: Number(args.seeds) }, (_, n) => n + 1)
 const sections: page.Section[] = []
 const better: matrix.Comparison[] = []
+const all: matrix.ScenarioResult[] = []
 
 for (const deployment of data.readDeployments()) {
   if (!deployment.name.includes(args.deployment)) continue
   for (const scenario of data.readScenarios()) {
     if (!scenario.name.includes(args.scenario)) continue
     const result = matrix.runScenario(deployment, scenario, seeds)
+    all.push(result)
     const title = `${deployment.name}, ${scenario.name}`
     const table = tableOf(result)
     print(`\n${title}: mean (least–most) of ${seeds.length} seeds`)
@@ -85,6 +87,13 @@
   )
 }
 print(`${better.filter(({ isClear }) => isClear).length} clear, ${better.length} in all`)
+print('\nOur policy against each other policy: scenarios where it is clearly better, clearly worse')
+for (const { part, measure, helps, hurts } of matrix.findPartEffects(all)) {
+  if (helps.length + hurts.length === 0) continue
+  print(
+    `${part}, ${measure}: better in ${helps.length}, worse in ${hurts.length} (${hurts.join(', ')})`,
+  )
+}
 fs.mkdirSync(path.dirname(args.out), { recursive: true })
 fs.writeFileSync(args.out, page.renderPage('Placement and interference', sections))
 print(`page: ${args.out}`)
--- a/packages/experiment/src/batch/matrix.ts
+++ b/packages/experiment/src/batch/matrix.ts
@@ -114,3 +114,42 @@
     }),
   )
 }
+
+export interface PartEffect {
+  readonly part: string
+  readonly measure: string
+  /** Scenarios in which our policy is clearly better than without the part, and clearly worse. */
+  readonly helps: readonly string[]
+  readonly hurts: readonly string[]
+}
+
+const effectOf = (
+  result: ScenarioResult,
+  part: string,
+  measure: Measure,
+): 'helps' | 'hurts' | 'none' => {
+  const ours = result.results.find(({ policy }) => policy.group === 'ours')
+  const without = result.results.find(({ policy }) => policy.name === part)
+  if (ours === undefined || without === undefined) return 'none'
+  const a = valuesOf(result, ours, measure)
+  const b = valuesOf(result, without, measure)
+  const { difference, error } = statistics.comparePairs(a, b)
+  const gain = measure.better === 'lower' ? -difference : difference
+  if (Math.abs(gain) <= CLEAR_ERRORS * error) return 'none'
+  return gain > 0 ? 'helps' : 'hurts'
+}
+
+/** Where each part of the policy clearly helps or hurts, by measure. */
+export const findPartEffects = (results: readonly ScenarioResult[]): readonly PartEffect[] => {
+  const groups = ['part off', 'baseline']
+  const parts = policies.POLICIES.filter(({ group }) => groups.includes(group))
+  return parts.flatMap(({ name: part }) =>
+    MEASURES.map((measure) => {
+      const found = (wanted: string): readonly string[] =>
+        results
+          .filter((result) => effectOf(result, part, measure) === wanted)
+          .map(({ deployment, scenario }) => `${deployment.name}/${scenario.name}`)
+      return { part, measure: measure.name, helps: found('helps'), hurts: found('hurts') }
+    }),
+  )
+}
