--- a/packages/control-state/__tests__/support.ts
+++ b/packages/control-state/__tests__/support.ts
@@ -10,6 +10,7 @@
   readonly services?: Readonly<Record<string, number>>
   readonly teams?: Readonly<Record<string, number>>
   readonly fitting?: readonly string[]
+  readonly guarded?: string
 }
 
 const source = (key: string) => ({ key, line: 1, requestedBy: 'Yann Le Goff' })
@@ -49,7 +50,12 @@
       { ...source(`failureDomain.${name}`), state: 'out' as const },
     ]),
   ),
-  guards: new Map(),
+  guards: new Map(
+    (rules.guarded === undefined ? [] : [rules.guarded]).map((name) => [
+      name,
+      { ...source(`guard.${name}`), maxSlowdown: 1.2, throttleFloorPercent: 25 },
+    ]),
+  ),
   weighting: { throughput: 0.5, evictions: 0.5, tail: 0.5 },
 })
 
