--- a/packages/control-state/__tests__/controlState.spec.ts
+++ b/packages/control-state/__tests__/controlState.spec.ts
@@ -174,6 +174,22 @@
   })
 })
 
+describe('teams', () => {
+  // Guards against a table that grows with every team name that was ever submitted.
+  test('are forgotten when their last work ended', () => {
+    const log = support.createLog()
+    log.worker('w')
+    for (const team of ['a', 'b', 'c']) log.submit(`j-${team}`, { team })
+    log.assign('j-a/0', 'w')
+    log.assign('j-b/0', 'w')
+    log.end('j-a/0', 1, TaskOutcome.COMPLETED)
+    log.run({ $case: 'cancelJobs', value: { jobs: ['j-b', 'j-c'], operator: '' } })
+    expect([...log.state.view.teams().keys()]).toEqual(['b'])
+    log.end('j-b/0', 1, TaskOutcome.CANCELLED)
+    expect([...log.state.view.teams().keys()]).toEqual([])
+  })
+})
+
 describe('claims', () => {
   const { ClaimState } = protocol.control
   const { ClaimOutcome } = protocol.command
--- a/packages/control-state/src/jobs.ts
+++ b/packages/control-state/src/jobs.ts
@@ -29,12 +29,20 @@
 const hasWaiting = (job: records.JobRecord): boolean =>
   job.state === 'active' && (job.waiting.size > 0 || job.nextFresh < job.tasks)
 
+/** Team names come from submitted jobs, so a team without work must not stay. */
+const dropIdleTeam = (tables: records.Tables, name: string, team: records.TeamRecord): void => {
+  const { cpuMillis, memoryMb, accelerators } = team.used
+  const isIdle = team.urgent.size + team.normal.size + cpuMillis + memoryMb + accelerators === 0
+  if (isIdle) tables.teams.delete(name)
+}
+
 /** Adds the job to its team's queue, or removes it, after a change to its waiting tasks. */
 export const refreshQueue = (tables: records.Tables, job: records.JobRecord): void => {
   const team = records.teamOf(tables, job.team)
   const queue = job.urgent ? team.urgent : team.normal
   if (hasWaiting(job)) queue.add(job)
   else queue.delete(job)
+  dropIdleTeam(tables, job.team, team)
 }
 
 const knownOutcome = (
--- a/packages/control-state/src/taskEnds.ts
+++ b/packages/control-state/src/taskEnds.ts
@@ -72,7 +72,10 @@
   if (ended === TaskOutcome.EVICTED) job.evictions += 1
   const isFinal = ended === TaskOutcome.COMPLETED || task.failures >= job.maxFailures
   if (job.state !== 'active' || isFinal) tables.tasks.delete(task.task)
-  if (job.state !== 'active') return
+  if (job.state !== 'active') {
+    jobs.refreshQueue(tables, job)
+    return
+  }
   if (ended === TaskOutcome.COMPLETED) job.completedTasks += 1
   else if (isFinal) job.failedTasks += 1
   else job.waiting.add(task.number)
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -16,6 +16,9 @@
 import * as unplaced from './unplaced.js'
 import * as waiting from './waiting.js'
 
+/** Queue positions that are kept; team names come from submitted jobs. */
+const MAX_CURSORS = 10_000
+
 export interface Scheduler {
   /**
    * Decides from the durable state and the leader's soft state. Keeps soft state of its own.
@@ -64,6 +67,7 @@
     reports: unplaced.createUnplacedReports(),
     rooms: preemption.createPreemption(resolved),
     cursorOf: (queue) => {
+      if (cursors.size > MAX_CURSORS) cursors.clear()
       const cursor = cursors.get(queue) ?? waiting.createQueueCursor()
       cursors.set(queue, cursor)
       return cursor
