perf(scheduling): leave expected harm out of the placement cost

Cause: the part did not earn its place beside deferral, which uses the same model before placement.

Change: interferencePlacement is off by default and stays as a switch of the experiment.

--- a/packages/experiment/src/batch/policies.ts
+++ b/packages/experiment/src/batch/policies.ts
@@ -25,9 +25,9 @@
   { name: 'no batch', group: 'no batch', parts: {} },
   { name: 'ours', group: 'ours', parts: {} },
   {
-    name: 'without interference placement',
+    name: 'with harm in the cost',
     group: 'part off',
-    parts: { interferencePlacement: false },
+    parts: { interferencePlacement: true },
   },
   { name: 'without deferral', group: 'part off', parts: { deferral: false } },
   { name: 'without spread', group: 'part off', parts: { spread: false } },
--- a/packages/scheduling/src/options.ts
+++ b/packages/scheduling/src/options.ts
@@ -15,7 +15,11 @@
   readonly guard: boolean
   /** @default 'leastLost' */
   readonly victim: VictimKind
-  /** Uses learned interference in placement. @default true */
+  /**
+   * Weighs the expected harm to and by other tasks when workers are compared. The experiment showed no
+   * gain beyond noise over deferral alone.
+   * @default false
+   */
   readonly interferencePlacement: boolean
   /** Lets harmful tasks wait for a quieter worker. @default true */
   readonly deferral: boolean
@@ -49,7 +53,7 @@
   placement: 'scored',
   guard: true,
   victim: 'leastLost',
-  interferencePlacement: true,
+  interferencePlacement: false,
   deferral: true,
   spread: true,
   refill: true,
