fix(settings): refuse port 0 for control replicas

Cause: a replica with port 0 logs 'started' at 127.0.0.1:0 and gives that address as its identity, so no other replica could reach it.

Change: the addresses of control replicas need a fixed port.

--- a/packages/daemon/__tests__/daemon.spec.ts
+++ b/packages/daemon/__tests__/daemon.spec.ts
@@ -111,7 +111,7 @@
 
   // Guards against a relative data folder that depends on where the process was started.
   test('takes a relative data folder from the folder of the settings file', () => {
-    const text = `role = "control"\ncell = "c"\nname = "n"\nfailureDomain = "d"\ngrpcAddress = "127.0.0.1:0"\nhttpAddress = "127.0.0.1:0"\ndataFolder = "data"\nrack = "r"\n`
+    const text = `role = "control"\ncell = "c"\nname = "n"\nfailureDomain = "d"\ngrpcAddress = "127.0.0.1:1"\nhttpAddress = "127.0.0.1:2"\ndataFolder = "data"\nrack = "r"\n`
     const resolved = daemon.readSettings(writeSettings('control.toml', text)).unwrap()
     expect(resolved).toMatchObject({ dataFolder: path.join(folder, 'data') })
   })
--- a/packages/settings/__tests__/settings.spec.ts
+++ b/packages/settings/__tests__/settings.spec.ts
@@ -62,6 +62,11 @@
       ENTRY.replace('10.0.1.4:7000', '10.0.1.4:0'),
       'one.toml:6: controlAddresses: ["10.0.1.4:0"] is not a list of 1 or more items, each an address such as "10.0.0.1:7000"',
     ],
+    [
+      'port 0 of a replica',
+      CONTROL.replace('10.0.1.4:7001', '10.0.1.4:0'),
+      'one.toml:6: httpAddress: "10.0.1.4:0" is not an address that other processes can reach, such as "10.0.0.1:7000"; not 0.0.0.0 or port 0',
+    ],
     [
       'a time that is too long',
       `${ENTRY}shutdownGraceMs = 600001\n`,
--- a/packages/settings/src/schema.ts
+++ b/packages/settings/src/schema.ts
@@ -20,6 +20,15 @@
   })
 }
 
+/** The addresses of a replica are part of the membership, so they must not change with a restart. */
+function memberAddress(doc: string): fields.Field<string> {
+  return fields.text({
+    form: 'an address that other processes can reach, such as "10.0.0.1:7000"; not 0.0.0.0 or port 0',
+    doc,
+    accepts: addresses.isPeerAddress,
+  })
+}
+
 function path(doc: string): fields.Field<string> {
   return fields.text({ form: 'a path', doc, accepts: (value) => value.trim() !== '' })
 }
@@ -105,8 +114,8 @@
 /** Fields of the role `control`. */
 export const controlFields = {
   ...commonFields,
-  grpcAddress: listenAddress('Address for the other replicas, entries and agents.'),
-  httpAddress: listenAddress('Address for operators, workers, health checks and metrics.'),
+  grpcAddress: memberAddress('Address for the other replicas, entries and agents.'),
+  httpAddress: memberAddress('Address for operators, workers, health checks and metrics.'),
   dataFolder: path('Folder for the durable state; relative to the settings file.'),
   rack: name('Rack that the instance is in.'),
   shutdownTimeoutMs,
