--- a/packages/cli/src/commands/members.ts
+++ b/packages/cli/src/commands/members.ts
@@ -122,7 +122,8 @@
     description: 'Add a replica to the control group',
     details: `
       Reads the identity of the replica at ADDRESS (its HTTP address) and adds it: it catches up first and
-      votes afterwards. Wait with \`members --wait\` before the next change.
+      votes afterwards. To replace a lost replica, remove the old identity once \`members\` shows the new one
+      as a voter, and then wait with \`members --wait\`.
 
       Exit codes: 0 accepted, 1 refused, 4 unreachable (not added), 5 unknown outcome.
     `,
