feat(cli): tests of check and the exit code of a job's name conflict

Cause: 'check' with a mistake had no test; the help of 'job submit' left out exit code 3, which a name with other content gives.

Change: three cases, the help text, singular and plural of counts.

--- a/packages/cli/__tests__/local.spec.ts
+++ b/packages/cli/__tests__/local.spec.ts
@@ -23,6 +23,8 @@
 
 describe('usage', () => {
   const rules = write('rules.toml', 'failureDomain.a = { state = "in" } # Yann\n')
+  const broken = write('broken.toml', 'failureDomain.a = { stat = "in" } # Yann\n')
+  const wrongRole = write('wrong-role.toml', 'role = "x"\n')
   const config = write('config.toml', 'controlAdresses = ["127.0.0.1:1"]\n')
   const cases: readonly (readonly [string, readonly string[], number, string])[] = [
     ['an unknown command', ['drian', 'brest'], 2, 'Command not found'],
@@ -74,6 +76,14 @@
       2,
       '--cpu-millis "x" is not a whole number',
     ],
+    [
+      'a rules file with a mistake',
+      ['check', rules, broken],
+      1,
+      'broken.toml:1: failureDomain.a.stat',
+    ],
+    ['a settings file with a mistake', ['check', wrongRole], 1, 'wrong-role.toml:1: role: "x"'],
+    ['valid files', ['check', rules], 0, 'valid rules (1 rule)'],
     ['a missing file', ['check', path.join(folder, 'none.toml')], 2, 'cannot be read'],
     [
       'nobody reachable',
--- a/packages/cli/src/commands/check.ts
+++ b/packages/cli/src/commands/check.ts
@@ -41,7 +41,7 @@
   const parsed = rules.parseRules(text, fileName)
   const kind = 'rules'
   return parsed.isOk()
-    ? { fileName, kind, mistakes: [], summary: `${parsed.value.rules.length} rules` }
+    ? { fileName, kind, mistakes: [], summary: describeCount(parsed.value.rules.length, 'rule') }
     : {
         fileName,
         kind,
@@ -50,6 +50,10 @@
       }
 }
 
+function describeCount(count: number, noun: string): string {
+  return `${count} ${noun}${count === 1 ? '' : 's'}`
+}
+
 /** Checks files. */
 export class CheckCommand extends baseCommand.BaseCommand {
   static override paths = [['check']]
@@ -81,7 +85,7 @@
     }
     const mistakes = checked.flatMap((file) => file.mistakes)
     if (mistakes.length > 0) {
-      const message = `${mistakes.length} mistake${mistakes.length === 1 ? '' : 's'}`
+      const message = describeCount(mistakes.length, 'mistake')
       return results.Err(failures.createFailure('refused', message, mistakes))
     }
     const lines = checked.map((file) => `${file.fileName}: valid ${file.kind} (${file.summary})\n`)
--- a/packages/cli/src/commands/job.ts
+++ b/packages/cli/src/commands/job.ts
@@ -27,7 +27,8 @@
       nothing, one with other content is refused. After a lost answer, run the same command again. Sizes and
       run time are those of one task.
 
-      Exit codes: 0 accepted, 1 refused, 2 usage, 4 unreachable (not submitted), 5 unknown outcome.
+      Exit codes: 0 accepted, 1 refused, 2 usage, 3 the name has other content, 4 unreachable (not submitted),
+      5 unknown outcome.
     `,
     examples: [
       [
