fix(cli): a test for a copy of a bucket that is behind

Cause: with the comparison of copies off, all 58 tests of cli still passed.

Change: a case whose older copy is read last.

Measured: it fails with the comparison off and passes with it (59 tests).

--- a/packages/cli/__tests__/burn.spec.ts
+++ b/packages/cli/__tests__/burn.spec.ts
@@ -57,6 +57,11 @@
         [answer('control', 'c', [bucket('one', 1, 5, 0)]), answer('entry', 'one', [one])],
         { bad: 10, total: 100 },
       ],
+      [
+        'a copy at the leader that is behind and was read last',
+        [answer('entry', 'one', [one]), answer('control', 'c', [bucket('one', 1, 5, 0)])],
+        { bad: 10, total: 100 },
+      ],
       [
         'an entry that restarted within a bucket',
         [answer('control', 'c', [one, bucket('one', 1, 7, 1)])],
