fix(agent): refuse for 2.5 s before the servers close on shutdown

Change: the servers stay open for at least 2.5 s after SIGTERM, bounded by shutdownTimeoutMs, and refuse new work as not run.

--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -40,6 +40,13 @@
 const MAX_ENDPOINTS = 64
 const DRAIN_POLL_MS = 20
 
+/**
+ * Shortest time from the start of a shutdown until the servers close. Entries learn by their sync, once a
+ * second, that the agent is closing; until then it refuses their requests as "not run" instead of
+ * leaving them at a closed port, where nobody can tell whether they ran.
+ */
+const CLOSE_LINGER_MS = 2_500
+
 const serverOptions: grpc.ServerOptions = {
   'grpc.max_receive_message_length': protocol.limits.MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': protocol.limits.MAX_MESSAGE_BYTES,
@@ -246,9 +253,11 @@
     },
     stop: async () => {
       logger.info('agent is draining', { running: state.active.size })
+      const openUntilMs = now() + Math.min(CLOSE_LINGER_MS, resolved.shutdownTimeoutMs)
       run(step({ kind: 'close' }))
       sync?.soon()
       await drain()
+      await pause(Math.max(0, openUntilMs - now()))
       clearTimeout(ticker)
       sync?.stop()
       await closeServers()
