--- a/packages/stand-ins/__tests__/audit.spec.ts
+++ b/packages/stand-ins/__tests__/audit.spec.ts
@@ -145,6 +145,18 @@
     ],
     expected: [],
   },
+  {
+    name: 'a cut-off worker whose end arrives after its task was given up',
+    entries: [
+      [0, 1, up('w1')],
+      [0, 2, up('w2')],
+      [1, 1, start('w1', 't', 1)],
+      [10_000, 1, stop('w1', 't', 1, 10_000, 'evicted', 'cp:t:1:5')],
+      [12_500, 2, start('w2', 't', 2)],
+      [18_000, 1, acknowledged('w1', 't', 1)],
+    ],
+    expected: [],
+  },
   {
     name: 'more than the processors',
     entries: [
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -54,7 +54,8 @@
 }
 
 interface Pair {
-  readonly client: number | undefined
+  /** Asked again until it is known: a client may connect before its process is registered. */
+  readonly client: () => number | undefined
   readonly toTarget: Pipe
   readonly toClient: Pipe
   readonly close: () => void
@@ -108,10 +109,12 @@
 
   const join = (client: net.Socket) => {
     const [host, port] = target.split(':')
-    const clientName = options.clientOf?.(client.remotePort ?? 0)
+    const clientPort = client.remotePort ?? 0
+    let known: number | undefined
+    const clientName = () => (known ??= options.clientOf?.(clientPort))
     const outgoing = net.connect(Number(port), host)
-    const toTarget = createPipe(outgoing, actionFor(forNew, 'toTarget', clientName))
-    const toClient = createPipe(client, actionFor(forNew, 'toClient', clientName))
+    const toTarget = createPipe(outgoing, actionFor(forNew, 'toTarget', clientName()))
+    const toClient = createPipe(client, actionFor(forNew, 'toClient', clientName()))
     const pair: Pair = {
       client: clientName,
       toTarget,
@@ -155,8 +158,8 @@
     change: (mode) => {
       forNew = mode.scope === 'old' ? { action: 'pass' } : mode
       for (const pair of pairs) {
-        setAction(pair.toTarget, actionFor(mode, 'toTarget', pair.client))
-        setAction(pair.toClient, actionFor(mode, 'toClient', pair.client))
+        setAction(pair.toTarget, actionFor(mode, 'toTarget', pair.client()))
+        setAction(pair.toClient, actionFor(mode, 'toClient', pair.client()))
       }
     },
     retarget: (next) => {
