feat(stand-ins): late requests of old connections, starts after the bound

Change: a fault that holds old connections only, and new work 3.5 s after the failure domain went out.

--- a/packages/stand-ins/__tests__/faults/failureDomains.spec.ts
+++ b/packages/stand-ins/__tests__/faults/failureDomains.spec.ts
@@ -32,6 +32,8 @@
         await sleep(1500)
         await system.operator.apply(support.rulesWith(support.out('brest')))
         await alongside?.(system)
+        // New work after the bound of the promise: only then a start there is a finding.
+        await sleep(3500)
         await system.operator.submit({ job: 'fitting-new', tasks: 9, command: 'run=2000' })
         await standIns.waiting.waitFor('brest to be empty', async () => {
           const { failureDomains } = await system.operator.status()
--- a/packages/stand-ins/__tests__/faults/requests.spec.ts
+++ b/packages/stand-ins/__tests__/faults/requests.spec.ts
@@ -91,6 +91,19 @@
       grpcRelay.change({ action: 'pass' })
     },
   },
+  {
+    name: 'late requests of old connections reach an agent after new ones work',
+    flags: { serviceTimeMs: 60 },
+    fault: async (system) => {
+      const { grpcRelay } = first(system.agents)
+      for (let i = 0; i < 3; i++) {
+        grpcRelay.change({ action: 'hold', direction: 'toTarget', scope: 'old' })
+        await sleep(1600)
+        grpcRelay.change({ action: 'pass' })
+        await sleep(300)
+      }
+    },
+  },
   {
     name: 'one agent is cut off both ways',
     flags: { serviceTimeMs: 60 },
