--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -45,6 +45,13 @@
  */
 const LEAVING_GRACE_MS = 1_500
 
+/**
+ * Shortest time from the start of a shutdown until the servers close. Entries learn by their sync, once a
+ * second, that the agent is closing; until then it refuses their requests as "not run" instead of
+ * leaving them at a closed port, where nobody can tell whether they ran.
+ */
+const CLOSE_LINGER_MS = 2_500
+
 const serverOptions: grpc.ServerOptions = {
   'grpc.max_receive_message_length': protocol.limits.MAX_MESSAGE_BYTES,
   'grpc.max_send_message_length': protocol.limits.MAX_MESSAGE_BYTES,
@@ -253,9 +260,11 @@
     },
     stop: async () => {
       logger.info('agent is draining', { running: state.active.size })
+      const openUntilMs = now() + Math.min(CLOSE_LINGER_MS, resolved.shutdownTimeoutMs)
       run(step({ kind: 'close' }))
       sync?.soon()
       await drain()
+      await pause(Math.max(0, openUntilMs - now()))
       clearTimeout(ticker)
       sync?.stop()
       await closeServers()
