perf(routing): four samples, damped service times, measured waits, refusals are no failures

Change: refused requests don't count for ejection or hedging; a service time counts from a factor of 1.5; reports that decide on room fade; four endpoints are compared; the expected wait uses measured waits; refusal above the target is an option that entries don't use.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -179,7 +179,8 @@
         : await exchange(endpointId, location)
     const failed = result.kind === 'failure'
     if (failed && result.outcome !== 'not-run') progress.mayHaveRun = true
-    router.ended(endpointId, { failed, tookMs: now() - startedAtMs }, now())
+    const refused = failed && result.reason === 'agent-refused'
+    router.ended(endpointId, { failed, refused, tookMs: now() - startedAtMs }, now())
     host.onRoom()
     return result
   }
--- a/packages/experiment/src/requests/simulation.ts
+++ b/packages/experiment/src/requests/simulation.ts
@@ -161,7 +161,7 @@
     const { router } = request.entry
     request.open--
     if (scenario.piggyback) router.table.report(endpoint.id, reportOf(endpoint), now)
-    router.ended(endpoint.id, { failed: !ok, tookMs: now - startMs }, now)
+    router.ended(endpoint.id, { failed: !ok, refused: !ok, tookMs: now - startMs }, now)
     if (ok) finish(request, 'answered')
     else retry(request, 'refused')
     pump(request.entry)
--- a/packages/experiment/src/requests/variants.ts
+++ b/packages/experiment/src/requests/variants.ts
@@ -14,6 +14,7 @@
 }
 
 const QUEUE = 64
+const TARGET_MS = 100
 
 const fullParts = (
   change: Partial<routing.choice.LoadAwareOptions> = {},
@@ -67,12 +68,14 @@
   choosing('no service times', { serviceTimes: false }),
   choosing('no slow start', { slowStartMs: 0 }),
   choosing('no domain preference', { remotePenaltyMs: 0 }),
+  choosing('2 endpoints sampled', { samples: 2 }),
   choosing('all endpoints sampled', { samples: 100 }),
   without('ejection', () => ({ outliers: new routing.outliers.NoEjection() })),
   without('fair queue', () => ({
     queue: new routing.fairQueue.FifoQueue<SimRequest>(() => QUEUE),
   })),
   without('retry budget', () => ({ budget: new routing.retryBudget.UnlimitedRetries() })),
+  { ...full, name: 'refusal above target', options: { targetMs: () => TARGET_MS } },
   { ...full, name: 'no early refusal', options: { refuseEarly: false } },
   { ...full, name: 'no entry queue', options: { overcommit: 1_000 } },
   { ...full, name: 'no hedging', hedges: false },
--- a/packages/routing/__tests__/routing.spec.ts
+++ b/packages/routing/__tests__/routing.spec.ts
@@ -72,9 +72,9 @@
   test('a stale report fades towards the mean', () => {
     const stale = view('a', { othersReported: 8, reportedAtMs: 0 })
     const fresh = others.map((o, i) => ({ ...o, othersReported: 3 + i, reportedAtMs: 5_000 }))
-    const choice = new routing.choice.LoadAwareChoice()
+    const choice = new routing.choice.LoadAwareChoice({ samples: 2 })
     expect(shareOf(choice, [stale, ...fresh], 'a', 5_000)).toBeGreaterThan(0.1)
-    const believing = new routing.choice.LoadAwareChoice({ reportDecayMs: Infinity })
+    const believing = new routing.choice.LoadAwareChoice({ samples: 2, reportDecayMs: Infinity })
     expect(shareOf(believing, [stale, ...fresh], 'a', 5_000)).toBe(0)
   })
 
--- a/packages/routing/src/choice.ts
+++ b/packages/routing/src/choice.ts
@@ -48,7 +48,7 @@
 
 /** Parts of the load-aware choice; each can be switched off. */
 export interface LoadAwareOptions {
-  /** Endpoints that are compared for one request. @default 2 */
+  /** Endpoints that are compared for one request. @default 4 */
   readonly samples: number
   /** Time in which a report loses 63 % of its weight against the mean. @default 250 */
   readonly reportDecayMs: number
@@ -63,7 +63,7 @@
 }
 
 export const DEFAULT_LOAD_AWARE: LoadAwareOptions = {
-  samples: 2,
+  samples: 4,
   reportDecayMs: 250,
   slowStartMs: 10_000,
   remotePenaltyMs: 3,
@@ -75,12 +75,18 @@
 const SLOW_START_FLOOR = 0.1
 /** Service time that is assumed where none was measured. */
 const ASSUMED_SERVICE_TIME_MS = 10
+/** Ratio from which a service time differs from the mean by more than chance. */
+const DISTINCT = 1.5
 /** Weight of load below the slots: endpoints slow down before all slots are busy. */
 const CONTENTION = 0.5
 
 const mean = (values: readonly number[]): number =>
   values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length
 
+// Averages of a few answers differ by chance; only a clear difference counts.
+const distinctTime = (timeMs: number, meanMs: number): number =>
+  timeMs > meanMs * DISTINCT || timeMs < meanMs / DISTINCT ? timeMs : meanMs
+
 const freshness = (view: View, nowMs: number, reportDecayMs: number): number =>
   Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / reportDecayMs)
 
@@ -159,7 +165,7 @@
       : 0
     const load = others + view.outstanding
     const known = options.serviceTimes && view.serviceTimeMs > 0
-    const timeMs = known ? view.serviceTimeMs : means.timeMs
+    const timeMs = known ? distinctTime(view.serviceTimeMs, means.timeMs) : means.timeMs
     const waiting = Math.max(0, load + 1 - view.slots) / view.slots
     const ms = timeMs * (1 + (CONTENTION * load) / view.slots + waiting)
     const remote = view.failureDomain === context.failureDomain ? 0 : options.remotePenaltyMs
--- a/packages/routing/src/outliers.ts
+++ b/packages/routing/src/outliers.ts
@@ -1,6 +1,8 @@
 /** How one request at an endpoint ended. */
 export interface EndedRequest {
   readonly failed: boolean
+  /** Refused without having run, for example by a full queue: says nothing about the endpoint. */
+  readonly refused?: boolean
   readonly tookMs: number
 }
 
--- a/packages/routing/src/serviceRouter.ts
+++ b/packages/routing/src/serviceRouter.ts
@@ -32,6 +32,11 @@
   readonly failureDomain: string
   /** Requests above its slots that one endpoint is given; the rest waits in the fair queue. @default 1 */
   readonly overcommit?: number
+  /**
+   * Refuse above this expected answer time (or twice the service time, if longer) even when the
+   * deadline is later: a lower tail under overload for more refusals. @default the deadline
+   */
+  readonly targetMs?: () => number
   /** Refuse a request that would be answered too late. @default true */
   readonly refuseEarly?: boolean
   /** Quantile of recent answer times after which a quick request is hedged. @default 0.95 */
@@ -66,6 +71,11 @@
 
 const NONE: ReadonlySet<string> = new Set()
 const MIN_HEDGE_MS = 2
+const REPORT_DECAY_MS = 500
+/** Service times that a request may take at least before it is refused as late. */
+const PATIENCE = 2
+/** Weight of the newest request in the averages of wait and places ahead. */
+const WAIT_GAIN = 0.05
 
 /** Creates the router of one service from the parts of a policy. */
 export const createServiceRouter = <Item extends fairQueue.Waiting>(
@@ -76,11 +86,15 @@
   const table = endpointTable.createEndpointTable()
   const latency = latencyTracker.createLatencyTracker()
 
-  const loadOf = (view: endpoint.EndpointView): number =>
-    view.outstanding + (view.othersReported ?? 0)
+  // The agent refuses what does not fit, so an old report must not hold requests back.
+  const loadOf = (view: endpoint.EndpointView, nowMs: number): number => {
+    if (view.othersReported === undefined) return view.outstanding
+    const freshness = Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / REPORT_DECAY_MS)
+    return view.outstanding + view.othersReported * freshness
+  }
 
-  const hasRoom = (view: endpoint.EndpointView): boolean =>
-    view.outstanding < view.slots + overcommit && loadOf(view) < view.slots + overcommit
+  const hasRoom = (view: endpoint.EndpointView, nowMs: number): boolean =>
+    loadOf(view, nowMs) < view.slots + overcommit
 
   // Endpoints that left since an ejection must not turn the ejected ones into half or more of the rest.
   const usable = (
@@ -107,12 +121,34 @@
     return chosen.id
   }
 
-  const expectedWaitMs = (item: Item, open: readonly endpoint.EndpointView[]): number => {
+  const offered = new Map<string, { readonly atMs: number; readonly ahead: number }>()
+  let waitMs = 0
+  let places = 0
+
+  const measureWait = (requestId: string, nowMs: number): void => {
+    const offer = offered.get(requestId)
+    offered.delete(requestId)
+    if (offer === undefined || offer.ahead < 1) return
+    waitMs += WAIT_GAIN * (nowMs - offer.atMs - waitMs)
+    places += WAIT_GAIN * (offer.ahead - places)
+  }
+
+  /** Expected answer time of a new request and the longest one that is accepted. */
+  const expect = (
+    item: Item,
+    open: readonly endpoint.EndpointView[],
+    nowMs: number,
+  ): { readonly answerMs: number; readonly limitMs: number } => {
     const slots = open.reduce((sum, view) => sum + view.slots, 0)
-    const busy = open.reduce((sum, view) => sum + loadOf(view), 0)
+    const busy = open.reduce((sum, view) => sum + loadOf(view, nowMs), 0)
     const timeMs = open.reduce((sum, view) => sum + view.serviceTimeMs, 0) / open.length
-    const ahead = parts.queue.ahead(item.caller, item.weight) + Math.max(0, busy + 1 - slots)
-    return ahead <= 0 ? timeMs : timeMs * (1 + ahead / slots)
+    const ahead = parts.queue.ahead(item.caller, item.weight)
+    const atEndpointsMs = (timeMs * Math.max(0, busy + 1 - slots)) / slots
+    const placeMs = places > 0 ? waitMs / places : 0
+    // Other processes take slots as well, so the waits that were seen say more than the slots.
+    const answerMs = timeMs + atEndpointsMs + ahead * Math.max(placeMs, timeMs / slots)
+    const patienceMs = Math.max(options.targetMs?.() ?? Infinity, PATIENCE * timeMs)
+    return { answerMs, limitMs: Math.min(item.deadlineMs - nowMs, patienceMs) }
   }
 
   const list = (listings: readonly endpoint.EndpointListing[], nowMs: number): void => {
@@ -131,33 +167,38 @@
     offer: (item, nowMs) => {
       const open = usable(NONE, nowMs)
       if (open.length === 0) return { kind: 'refused', reason: 'no-endpoint', expectedWaitMs: 0 }
-      const waitMs = expectedWaitMs(item, open)
-      if (refuseEarly && nowMs + waitMs > item.deadlineMs) {
-        return { kind: 'refused', reason: 'too-late', expectedWaitMs: waitMs }
+      const { answerMs, limitMs } = expect(item, open, nowMs)
+      if (refuseEarly && answerMs > limitMs) {
+        return { kind: 'refused', reason: 'too-late', expectedWaitMs: answerMs }
       }
+      const ahead = parts.queue.ahead(item.caller, item.weight)
       const offer = parts.queue.push(item)
       if (offer.kind === 'full') {
-        return { kind: 'refused', reason: 'queue-full', expectedWaitMs: waitMs }
+        return { kind: 'refused', reason: 'queue-full', expectedWaitMs: answerMs }
       }
       parts.budget.deposit(nowMs)
+      offered.set(item.requestId, { atMs: nowMs, ahead })
+      if (offer.kind === 'displaced') offered.delete(offer.item.requestId)
       return offer
     },
     next: (nowMs, random) => {
       if (parts.queue.size() === 0) return undefined
-      const candidates = usable(NONE, nowMs).filter(hasRoom)
+      const candidates = usable(NONE, nowMs).filter((view) => hasRoom(view, nowMs))
       if (candidates.length === 0) return undefined
       const item = parts.queue.pop()
       if (item === undefined) return undefined
+      measureWait(item.requestId, nowMs)
       const endpointId = choose(candidates, nowMs, random)
       return endpointId === undefined ? undefined : { item, endpointId }
     },
     again: (excluded, needsRoom, nowMs, random) => {
       const open = usable(excluded, nowMs)
-      const free = open.filter((view) => loadOf(view) < view.slots)
+      const free = open.filter((view) => loadOf(view, nowMs) < view.slots)
       return choose(needsRoom || free.length > 0 ? free : open, nowMs, random)
     },
     ended: (endpointId, ended, nowMs) => {
       table.ended(endpointId, ended.failed ? undefined : ended.tookMs)
+      if (ended.refused === true) return
       if (!ended.failed) latency.record(ended.tookMs)
       const untilMs = parts.outliers.onEnd(endpointId, ended, nowMs)
       if (untilMs > 0) table.eject(endpointId, untilMs)
@@ -167,8 +208,15 @@
       const ms = latency.quantile(hedgeQuantile)
       return ms === undefined ? undefined : Math.max(MIN_HEDGE_MS, ms)
     },
-    remove: (requestId) => parts.queue.remove(requestId),
-    expire: (nowMs) => parts.queue.expire(nowMs),
+    remove: (requestId) => {
+      offered.delete(requestId)
+      return parts.queue.remove(requestId)
+    },
+    expire: (nowMs) => {
+      const expired = parts.queue.expire(nowMs)
+      for (const { requestId } of expired) offered.delete(requestId)
+      return expired
+    },
     queued: () => parts.queue.size(),
   }
 }
