--- a/packages/experiment/src/batch/policies.ts
+++ b/packages/experiment/src/batch/policies.ts
@@ -7,14 +7,18 @@
   readonly parts: Partial<scheduling.PolicyParts>
 }
 
+/**
+ * What the simple policies leave out. They keep what operators ask of any policy: runners first,
+ * urgent work within 10 s, and no work in a failure domain that is out.
+ */
 const SIMPLE = {
   guard: false,
+  victim: 'newest',
   interferencePlacement: false,
+  deferral: false,
   spread: false,
   refill: false,
   quarantine: false,
-  drainOrder: false,
-  preemption: false,
 } as const
 
 export const POLICIES: readonly Policy[] = [
@@ -25,6 +29,7 @@
     group: 'part off',
     parts: { interferencePlacement: false },
   },
+  { name: 'without deferral', group: 'part off', parts: { deferral: false } },
   { name: 'without spread', group: 'part off', parts: { spread: false } },
   { name: 'without refill', group: 'part off', parts: { refill: false } },
   { name: 'without quarantine', group: 'part off', parts: { quarantine: false } },
--- a/packages/scheduling/src/guard.ts
+++ b/packages/scheduling/src/guard.ts
@@ -3,7 +3,7 @@
  * target allows, the most harmful first, and evicted when throttling to the floor is not enough.
  */
 import type * as controlState from '@ebonyweir/control-state'
-import * as budgets from './budgets.js'
+import type * as budgets from './budgets.js'
 import type * as interference from './interference.js'
 import type * as options from './options.js'
 import * as softState from './softState.js'
@@ -29,6 +29,12 @@
 
 const FULL_PERCENT = 100
 
+/** Used share above which a worker is overloaded; reported usage is off by some percent. */
+const OVERLOADED_SHARE = 1.03
+
+/** Use relative to the declared size from which a task counts as larger than declared. */
+const OVERUSE = 1.2
+
 interface Aggressor {
   readonly task: controlState.TaskView
   readonly share: number
@@ -57,6 +63,7 @@
   parts: options.PolicyParts,
   soft: softState.SoftState,
   model: interference.Interference,
+  budget: budgets.Budgets,
 ): Guard => {
   const aggressorsOf = (
     view: controlState.ControlView,
@@ -83,7 +90,7 @@
     service: string,
     load: number,
   ): Wanted | undefined => {
-    const { limit, caution, rule } = budgets.budgetOf(view.rules(), service)
+    const { limit, caution, rule } = budget.budgetOf(view.rules(), service)
     if (rule === undefined) return undefined
     const aggressors = aggressorsOf(view, worker, memory, service, load)
     const { deviation } = model.estimate(`service/${service}`, load, memory.profile.shares)
@@ -137,16 +144,42 @@
     soft.evictions.set(task, { task, attempt, worker, reason: 'guard', rule })
   }
 
+  /** Holds tasks that use more than they declared to their declared size on an overloaded worker. */
+  const holdToDeclared = (
+    worker: controlState.WorkerView,
+    memory: softState.WorkerMemory,
+  ): Map<controlState.TaskView, number> => {
+    const capacity = Math.max(1, worker.capacity.cpuMillis)
+    const percents = new Map<controlState.TaskView, number>()
+    const demands = [...worker.tasks.values()].map((task) => ({
+      task,
+      declared: task.resources.cpuMillis / capacity,
+      demand: softState.demandShareOf(worker, task, memory.running.get(task.task)),
+    }))
+    let excess = demands.reduce((sum, { demand }) => sum + demand, 0) - OVERLOADED_SHARE
+    const largestFirst = demands
+      .filter(({ task, demand, declared }) => task.kind === 'batch' && demand > declared * OVERUSE)
+      .sort((a, b) => b.demand - b.declared - (a.demand - a.declared))
+    for (const { task, demand, declared } of largestFirst) {
+      if (excess <= 0) break
+      const cut = Math.min(excess, demand - declared)
+      percents.set(task, FULL_PERCENT * (1 - cut / demand))
+      excess -= cut
+    }
+    return percents
+  }
+
   const review: Guard['review'] = (view, worker, memory, nowMs) => {
     const wanted: Wanted[] = []
     for (const [service, load] of memory.profile.loads) {
       const found = wantedFor(view, worker, memory, service, load)
       if (found !== undefined) wanted.push(found)
     }
+    const held = holdToDeclared(worker, memory)
     for (const task of worker.tasks.values()) {
       if (task.kind !== 'batch') continue
       const percents = wanted.map(({ percents: map }) => map.get(task) ?? FULL_PERCENT)
-      setThrottle(task, Math.min(FULL_PERCENT, ...percents), nowMs)
+      setThrottle(task, Math.min(held.get(task) ?? FULL_PERCENT, ...percents), nowMs)
     }
     const over = wanted.find(({ excess }) => excess > TOLERATED_EXCESS)
     if (over === undefined || over.aggressors.length === 0) {
--- a/packages/stand-ins/__tests__/faults/workers.spec.ts
+++ b/packages/stand-ins/__tests__/faults/workers.spec.ts
@@ -6,7 +6,7 @@
 const { sleep } = standIns.waiting
 
 /** Longer than a worker's lease with drift and margin. */
-const BEYOND_LEASE_MS = 14_000
+const BEYOND_LEASE_MS = 18_000
 
 const submitLong = (system: support.System, tasks = 3) =>
   system.operator.submit({
@@ -20,7 +20,10 @@
   interface Case {
     readonly name: string
     readonly flags?: standIns.systemProcess.StandInFlags
-    readonly fault: (worker: standIns.systemProcess.StandIn) => Promise<void>
+    readonly fault: (
+      worker: standIns.systemProcess.StandIn,
+      system: support.System,
+    ) => Promise<void>
     readonly expected: support.Rules
   }
   const freeze: Case['fault'] = async (worker) => {
@@ -42,6 +45,16 @@
       },
       expected: [],
     },
+    {
+      name: 'a worker that is cut off silently: it stops everything by its own clock',
+      fault: async (worker, system) => {
+        const clients = [worker.process().pid]
+        for (const { httpRelay } of system.control) httpRelay.change({ action: 'hold', clients })
+        await sleep(BEYOND_LEASE_MS)
+        system.reconnect()
+      },
+      expected: [],
+    },
     {
       name: 'a worker that freezes beyond its lease and resumes: it stops everything first',
       fault: freeze,
@@ -66,7 +79,7 @@
         const statuses = await Promise.all(workers.map(support.statusOf))
         const victim = workers[statuses.findIndex((s) => s.running.length > 0)]
         if (victim === undefined) throw new Error('no worker runs a task')
-        await fault(victim)
+        await fault(victim, system)
         await support.waitForJob(system, 'fitting-long', 'completed', 90_000)
       })
       expect([...new Set(result.findings.map((f) => f.rule))]).toEqual(expected)
@@ -86,12 +99,26 @@
           cpuMillis: 64_000,
           failsEverything: true,
         })
-        for (let i = 0; i < 6; i++) {
-          await system.operator.submit({ job: `fitting-${i}`, tasks: 2, command: 'run=300' })
+        const submitMany = async (name: string) => {
+          const jobs = Array.from({ length: 12 }, (_, i) => `${name}-${i}`)
+          for (const job of jobs) {
+            await system.operator.submit({ job, tasks: 2, command: 'run=300', maxFailures: 8 })
+          }
+          for (const job of jobs) await support.waitForJob(system, job, 'completed')
         }
-        for (let i = 0; i < 6; i++) await support.waitForJob(system, `fitting-${i}`, 'completed')
-        const { workers } = await system.operator.status()
-        expect(workers.find((w) => w.worker === 'worker-broken')?.state).toBe('quarantined')
+        const startsAtBroken = () =>
+          system.records().filter((r) => r.kind === 'taskStarted' && r.worker === 'worker-broken')
+            .length
+        await submitMany('fitting-a')
+        await standIns.waiting.waitFor('the quarantine', async () => {
+          const { workers } = await system.operator.status()
+          const broken = workers.find((w) => w.worker === 'worker-broken')
+          return broken?.state === 'quarantined' || undefined
+        })
+        const before = startsAtBroken()
+        await submitMany('fitting-b')
+        // One task is tried there after each backoff of at least 30 s.
+        expect(startsAtBroken() - before).toBeLessThanOrEqual(2)
       })
       support.expectKept(result, 'taskStarted', 'taskStopped')
     },
