fix(bench): measure the restart after a few hundred commits

Cause: the first steps of the restart measurement overshot their targets of 300 to 9,000 commits to 27,136.

--- a/packages/bench/src/control.ts
+++ b/packages/bench/src/control.ts
@@ -63,8 +63,9 @@
   for (const target of [300, 3_000, 9_000, 30_000, 100_000]) {
     while (commits < target) {
       const leader = await group.leader()
-      const submitters = Math.min(256, target - commits)
-      const durationMs = submitters < 256 ? 50 : 500
+      // One submitter overshoots a small target by little.
+      const submitters = target > 10_000 ? 256 : 1
+      const durationMs = Math.min(500, (target - commits) / 4)
       const request = { kind: 'load' as const, submitters, durationMs, payloadBytes }
       commits += (await groups.ask(leader, request, 'loaded')).committed
     }
