--- a/packages/agent/src/agent.ts
+++ b/packages/agent/src/agent.ts
@@ -39,6 +39,18 @@
 const IDLE_TICK_MS = 500
 const MAX_ENDPOINTS = 64
 const DRAIN_POLL_MS = 20
+/**
+ * Entries learn from their probes, two a second, that an agent leaves. Until they had three, it goes on
+ * refusing requests as not run; a connection that fails to open proves nothing to the entry.
+ */
+const LEAVING_GRACE_MS = 1_500
+
+/**
+ * Shortest time from the start of a shutdown until the servers close. Entries learn by their sync, once a
+ * second, that the agent is closing; until then it refuses their requests as "not run" instead of
+ * leaving them at a closed port, where nobody can tell whether they ran.
+ */
+const CLOSE_LINGER_MS = 2_500
 
 const serverOptions: grpc.ServerOptions = {
   'grpc.max_receive_message_length': protocol.limits.MAX_MESSAGE_BYTES,
@@ -70,6 +82,7 @@
   let grpcServer: grpc.Server | undefined
   let httpServer: http.Server | undefined
   let ticker: NodeJS.Timeout | undefined
+  let idle = true
   let sync: configSync.ConfigSync | undefined
 
   const now = (): number => performance.now()
@@ -116,6 +129,7 @@
     load: () => executionState.loadReport(state, now()),
     begin: (request) => {
       if (!state.active.has(request.requestId)) payloads.set(request.requestId, request)
+      if (idle) scheduleTick(false)
     },
   })
 
@@ -125,7 +139,13 @@
       if (!state.active.has(requestId)) payloads.delete(requestId)
     }
     client.keep(new Set(state.endpoints.keys()))
-    ticker = setTimeout(tick, state.active.size === 0 ? IDLE_TICK_MS : TICK_MS)
+    scheduleTick(state.active.size === 0)
+  }
+
+  const scheduleTick = (isIdle: boolean): void => {
+    idle = isIdle
+    clearTimeout(ticker)
+    ticker = setTimeout(tick, isIdle ? IDLE_TICK_MS : TICK_MS)
   }
 
   const announce = (announcement: execution.Announcement): string => {
@@ -188,7 +208,9 @@
 
   const drain = async (): Promise<void> => {
     const untilMs = now() + resolved.shutdownTimeoutMs
-    while (state.active.size > 0 && now() < untilMs) await pause(DRAIN_POLL_MS)
+    const graceUntilMs = Math.min(untilMs, now() + LEAVING_GRACE_MS)
+    const isBusy = (): boolean => state.active.size > 0 && now() < untilMs
+    while (isBusy() || now() < graceUntilMs) await pause(DRAIN_POLL_MS)
     if (state.active.size > 0) {
       logger.warn('requests were cut by the shutdown deadline', { requests: state.active.size })
     }
@@ -238,13 +260,15 @@
     },
     stop: async () => {
       logger.info('agent is draining', { running: state.active.size })
+      const openUntilMs = now() + Math.min(CLOSE_LINGER_MS, resolved.shutdownTimeoutMs)
       run(step({ kind: 'close' }))
       sync?.soon()
       await drain()
+      await pause(Math.max(0, openUntilMs - now()))
       clearTimeout(ticker)
       sync?.stop()
       await closeServers()
-      await client.close()
+      client.close()
       logger.info('agent stopped')
     },
   }
--- a/packages/routing/src/choice.ts
+++ b/packages/routing/src/choice.ts
@@ -48,7 +48,7 @@
 
 /** Parts of the load-aware choice; each can be switched off. */
 export interface LoadAwareOptions {
-  /** Endpoints that are compared for one request. @default 2 */
+  /** Endpoints that are compared for one request. @default 4 */
   readonly samples: number
   /** Time in which a report loses 63 % of its weight against the mean. @default 250 */
   readonly reportDecayMs: number
@@ -63,7 +63,7 @@
 }
 
 export const DEFAULT_LOAD_AWARE: LoadAwareOptions = {
-  samples: 2,
+  samples: 4,
   reportDecayMs: 250,
   slowStartMs: 10_000,
   remotePenaltyMs: 3,
@@ -75,12 +75,39 @@
 const SLOW_START_FLOOR = 0.1
 /** Service time that is assumed where none was measured. */
 const ASSUMED_SERVICE_TIME_MS = 10
+/** Ratio from which a service time differs from the mean by more than chance. */
+const DISTINCT = 1.5
 /** Weight of load below the slots: endpoints slow down before all slots are busy. */
 const CONTENTION = 0.5
 
 const mean = (values: readonly number[]): number =>
   values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length
 
+// Averages of a few answers differ by chance; only a clear difference counts.
+const distinctTime = (timeMs: number, meanMs: number): number =>
+  timeMs > meanMs * DISTINCT || timeMs < meanMs / DISTINCT ? timeMs : meanMs
+
+const freshness = (view: View, nowMs: number, reportDecayMs: number): number =>
+  Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / reportDecayMs)
+
+/** Mean load in the reports, weighted by their freshness; the plain mean if all are stale. */
+export const meanReport = (
+  views: readonly View[],
+  nowMs: number,
+  reportDecayMs: number,
+): number => {
+  let sum = 0
+  let weights = 0
+  for (const view of views) {
+    if (view.othersReported === undefined) continue
+    const weight = freshness(view, nowMs, reportDecayMs)
+    sum += weight * view.othersReported
+    weights += weight
+  }
+  if (weights > Number.EPSILON) return sum / weights
+  return mean(views.flatMap((view) => view.othersReported ?? []))
+}
+
 /** Requests of other processes now: the report fades towards the mean of all reports with its age. */
 export const agedLoad = (
   view: View,
@@ -89,7 +116,7 @@
   reportDecayMs: number,
 ): number => {
   if (view.othersReported === undefined) return meanReported
-  const weight = Math.exp(-Math.max(0, nowMs - view.reportedAtMs) / reportDecayMs)
+  const weight = freshness(view, nowMs, reportDecayMs)
   return meanReported + (view.othersReported - meanReported) * weight
 }
 
@@ -102,9 +129,11 @@
   }
 
   choose(candidates: readonly View[], context: ChoiceContext): View | undefined {
-    const reported = candidates.flatMap((c) => c.othersReported ?? [])
     const times = candidates.map((c) => c.serviceTimeMs).filter((ms) => ms > 0)
-    const means = { reported: mean(reported), timeMs: mean(times) || ASSUMED_SERVICE_TIME_MS }
+    const means = {
+      reported: meanReport(candidates, context.nowMs, this.options.reportDecayMs),
+      timeMs: mean(times) || ASSUMED_SERVICE_TIME_MS,
+    }
     let best: View | undefined
     let bestMs = Infinity
     for (const candidate of this.sample(candidates, context.random)) {
@@ -136,7 +165,7 @@
       : 0
     const load = others + view.outstanding
     const known = options.serviceTimes && view.serviceTimeMs > 0
-    const timeMs = known ? view.serviceTimeMs : means.timeMs
+    const timeMs = known ? distinctTime(view.serviceTimeMs, means.timeMs) : means.timeMs
     const waiting = Math.max(0, load + 1 - view.slots) / view.slots
     const ms = timeMs * (1 + (CONTENTION * load) / view.slots + waiting)
     const remote = view.failureDomain === context.failureDomain ? 0 : options.remotePenaltyMs
