--- a/packages/experiment/src/batch/simulation.ts
+++ b/packages/experiment/src/batch/simulation.ts
@@ -133,7 +133,11 @@
   }
 
   const runEvents = (): void => {
-    for (; (arrivals[next]?.atMs ?? Infinity) <= nowMs; next += 1) submit(arrivals[next]!)
+    for (let arriving = arrivals[next]; arriving !== undefined && arriving.atMs <= nowMs;) {
+      submit(arriving)
+      next += 1
+      arriving = arrivals[next]
+    }
     for (const atMs of scenario.cancelAtMs) trigger(atMs, cancelWave)
     if (scenario.domainOut === null) return
     const [outMs, backMs] = scenario.domainOut
@@ -199,6 +203,7 @@
       const isRunning = machine.running.has(task.task)
       const isLeaving = stops.has(task.task) || evicted.has(task.task)
       if (!isRunning && !isLeaving) startTask(machine, task)
+      else if (!isRunning) machine.refuse(task.task, task.attempt, kept.get(task.task) ?? 0)
       else if (stops.has(task.task)) machine.stop(task.task)
       else if (evicted.has(task.task)) machine.checkpoint(task.task, nowMs)
       else machine.throttle(task.task, throttles.get(task.task) ?? 100)
