fix(entry): no further attempt after a hedge answered; test of hedging

Cause: an attempt that lost to its hedge was taken for a failure of its own, and could be retried after the caller had its answer; a cancelled hedge counted against its endpoint.

Change: attempts end with the request; a cancelled call counts against its endpoint only if a hedge that started later was faster.

The retry after the answer was found by reading and was not reproduced: the test passed without that part of the change. Counting no lost attempt at all made the test fail twice, since the slow endpoint was never ejected.

--- a/packages/entry/src/attempts.ts
+++ b/packages/entry/src/attempts.ts
@@ -179,14 +179,18 @@
         : await exchange(endpointId, location)
     const failed = result.kind === 'failure'
     if (failed && result.outcome !== 'not-run') progress.mayHaveRun = true
-    const refused = failed && result.reason === 'agent-refused'
+    // A cancelled call says nothing about its endpoint, unless a hedge that started later was faster.
+    const lostAsHedge = progress.finished && endpointId !== firstEndpointId
+    const cancelled = lostAsHedge || request.cancelled.aborted
+    const refused = failed && (cancelled || result.reason === 'agent-refused')
     router.ended(endpointId, { failed, refused, tookMs: now() - startedAtMs }, now())
     host.onRoom()
     return result
   }
 
   const nextEndpoint = (needsRoom: boolean): string | undefined => {
-    if (attempts >= MAX_ATTEMPTS || leftMs() <= 0 || request.cancelled.aborted) return undefined
+    if (progress.finished || attempts >= MAX_ATTEMPTS || leftMs() <= 0 || request.cancelled.aborted)
+      return undefined
     const endpointId = router.again(tried, needsRoom, now(), host.random)
     if (endpointId === undefined) return undefined
     if (router.mayRetry(now())) return endpointId
