fix(entry): send nothing on a connection that is not open

Cause: a call on a connection that was not open waited for it and failed without a proof that nothing was sent, so requests at an agent that had just gone were answered unknown (seen in the SIGTERM fault test: 'Waiting for LB pick', 'No connection established'). Change: execute refuses unless the channel is ready; the attempt then counts as not run. The new spec for a closed port passes with and without the change, so it guards the outcome but does not prove the mechanism.

--- a/packages/entry/__tests__/faults.spec.ts
+++ b/packages/entry/__tests__/faults.spec.ts
@@ -188,6 +188,18 @@
     expect(second.ran.length).toBe(1)
   })
 
+  // Guards against "unknown" for a request of which nothing was sent.
+  test('an agent whose port is closed: a non-idempotent request is refused as not run', async () => {
+    const endpoint = await cell.addEndpoint('counter-1', { shutdownTimeoutMs: 0 })
+    const address = await start()
+    await cell.agents.get('counter-1')?.agent.stop()
+    endpoint.ran.length = 0
+    // One request may meet the connection before its end is noticed.
+    await cells.pause(200)
+    const reply = await cells.call(address, { body: 'swap' })
+    expect([reply.outcome, endpoint.ran.length]).toEqual(['not-run', 0])
+  })
+
   // Guards against one caller whose flood keeps another one's requests from being served.
   test('a flood by one caller does not starve another', async () => {
     const endpoint = await cell.addEndpoint('counter-1')
--- a/packages/entry/src/agentConnection.ts
+++ b/packages/entry/src/agentConnection.ts
@@ -17,7 +17,7 @@
 /** Connection to one agent, watched by probes and replaced when it goes silent. */
 export interface AgentConnection {
   readonly address: string
-  /** Sends a request; undefined before the first probe was answered. */
+  /** Sends a request; undefined if the connection is not open, so that nothing was sent. */
   readonly execute: (request: OutgoingRequest, timeoutMs: number) => Execution | undefined
   /** Asks over a fresh connection what became of a request. */
   readonly resolve: (
@@ -167,12 +167,16 @@
     return { incarnation: at.incarnation, reply, cancel }
   }
 
+  // A call on a connection that is not open would wait, and fail without a proof that it was not sent.
+  const isOpen = (): boolean =>
+    client.getChannel().getConnectivityState(true) === grpc.connectivityState.READY
+
   probe()
 
   return {
     address,
     execute: (request, timeoutMs) =>
-      stamp === undefined ? undefined : execute(request, timeoutMs, stamp),
+      stamp === undefined || !isOpen() ? undefined : execute(request, timeoutMs, stamp),
     resolve: async (requestId, agentIncarnation, timeoutMs) =>
       resolveAt(address, { cell: host.cell, requestId, agentIncarnation, peek: false }, timeoutMs),
     close: () => {
