fix(stand-ins): repeat the relay's look-up of a connection's process

Cause: 'a worker that is cut off silently' failed once in a whole run with 3 task starts and no finding, as if the worker had not been cut. Suspected, not confirmed by a trace: a read of the kernel's connection table missed the worker's new connection, which then passed.

--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -89,6 +89,8 @@
   if (pipe.ended) pipe.to.destroySoon()
 }
 
+const CLIENT_LOOKUPS = 5
+
 /** Starts a relay on loopback. */
 export const createRelay = async (options: RelayOptions): Promise<Relay> => {
   let target = options.target
@@ -111,7 +113,13 @@
     const [host, port] = target.split(':')
     const clientPort = client.remotePort ?? 0
     let known: number | undefined
-    const clientName = () => (known ??= options.clientOf?.(clientPort))
+    // The kernel's table of connections is not read at one instant, so a read can miss an entry.
+    const clientName = () => {
+      for (let tries = 0; known === undefined && tries < CLIENT_LOOKUPS; tries++) {
+        known = options.clientOf?.(clientPort)
+      }
+      return known
+    }
     const outgoing = net.connect(Number(port), host)
     const toTarget = createPipe(outgoing, actionFor(forNew, 'toTarget', clientName()))
     const toClient = createPipe(client, actionFor(forNew, 'toClient', clientName()))
