feat(workflow): fillers of jobs that can be in time together go first

Change: durations of fillers are learned from progress at a known pace; jobs are ranked by whether they can be in time together (Moore and Hodgson, with weights), with saved progress counted; placement, paces and moves follow that rank; fillers beyond the processors of a worker are paused; fillers that a list does not show yet take their part of the room.

--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -18,6 +18,7 @@
   readonly disturbance: scheduling.Disturbance
   /** Workers that may get new runs now. */
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
+  readonly fillerRank: scheduling.PlacementInput['fillerRank']
   readonly avoids: scheduling.PlacementInput['avoids']
   /** Sends the starts of committed assignments to their workers. */
   readonly start: (accepted: readonly protocol.workflow.Assignment[]) => void
@@ -54,6 +55,7 @@
       nowMs: Date.now(),
       maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
       disturbance,
+      fillerRank: options.fillerRank,
       waitedMs,
       avoids: options.avoids,
     })
--- a/packages/workflow-control/src/fillerPacing.ts
+++ b/packages/workflow-control/src/fillerPacing.ts
@@ -1,6 +1,6 @@
 /** Paces the filling runs of a term's workers from their figures, and finds those that should move. */
 import type * as protocol from '@ebonyweir/protocol'
-import * as scheduling from '@ebonyweir/workflow-scheduling'
+import type * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as sessions from './workerSession.js'
 
@@ -18,11 +18,13 @@
 
 export interface FillerPacingOptions {
   readonly disturbance: scheduling.Disturbance
-  readonly expected: scheduling.Durations
+  readonly rankOf: (step: workflowState.StepView) => number
+  /** Processors that the other tasks of a worker leave to fillers. */
+  readonly leftCpuMillis: (session: sessions.WorkerSession) => number
   readonly activeRun: (run: protocol.workflow.TaskRun) => workflowState.ActiveRun | undefined
   readonly nowMs: () => number
   /** Progress of a run in percent. */
-  readonly percentOf: (key: string) => number
+  readonly percentOf: (run: protocol.workflow.TaskRun) => number
   /** Whether a worker now is a place where a filler of the step works well. */
   readonly hasGoodPlace: (step: workflowState.StepView) => boolean
 }
@@ -31,7 +33,7 @@
   /** Learns from a worker's newest list and orders paces. */
   readonly pace: (session: sessions.WorkerSession) => void
   /** Whether a filler that hardly works leaves for a better place that there is; at most one in an interval. */
-  readonly shouldMove: (active: workflowState.ActiveRun, key: string) => boolean
+  readonly shouldMove: (active: workflowState.ActiveRun, run: protocol.workflow.TaskRun) => boolean
   /** Forgets a run that ended. */
   readonly forget: (key: string) => void
 }
@@ -43,17 +45,15 @@
 interface Neighbours {
   readonly serving: readonly scheduling.ServingTask[]
   readonly filling: readonly FillingRun[]
+  readonly leftCpuMillis: number
 }
 
 export const createFillerPacing = (options: FillerPacingOptions): FillerPacing => {
-  const { disturbance, expected, activeRun, nowMs } = options
+  const { disturbance, activeRun, nowMs, rankOf } = options
   /** Since when a filler has hardly worked, by run key. */
   const slowSinceMs = new Map<string, number>()
   let movedMs = 0
 
-  const rankOf = (step: workflowState.StepView): number =>
-    scheduling.outlookRank(scheduling.urgencyOf(step, expected, Date.now()).outlook)
-
   /** Serving and filling runs of a worker with their figures. */
   const neighboursOf = (session: sessions.WorkerSession): Neighbours => {
     const serving: scheduling.ServingTask[] = []
@@ -64,9 +64,12 @@
       const { image, tailTargetMs, filling: fills } = active.step.spec
       const key = workflowState.runKey(run)
       if (tailTargetMs > 0) serving.push({ key, image, tailMs: figure, targetMs: tailTargetMs })
-      else if (fills) filling.push({ run, key, image, pacePercent, rank: rankOf(active.step) })
+      else if (fills) {
+        const { cpuMillis } = workflowState.claimOf(active.step.spec)
+        filling.push({ run, key, image, pacePercent, rank: rankOf(active.step), cpuMillis })
+      }
     }
-    return { serving, filling }
+    return { serving, filling, leftCpuMillis: options.leftCpuMillis(session) }
   }
 
   return {
@@ -84,12 +87,12 @@
       }
       session.pace(orders)
     },
-    shouldMove: (active, key) => {
+    shouldMove: (active, run) => {
       const now = nowMs()
-      const since = slowSinceMs.get(key)
+      const since = slowSinceMs.get(workflowState.runKey(run))
       if (since === undefined || now - since < SLOW_TO_MOVE_MS) return false
       if (now - movedMs < MOVE_INTERVAL_MS) return false
-      const losesLittle = active.step.spec.checkpointing || options.percentOf(key) < LITTLE_PERCENT
+      const losesLittle = active.step.spec.checkpointing || options.percentOf(run) < LITTLE_PERCENT
       if (!losesLittle || !options.hasGoodPlace(active.step)) return false
       movedMs = now
       return true
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -8,8 +8,10 @@
 import * as assignmentRounds from './assignmentRounds.js'
 import type * as context from './context.js'
 import * as fillerPacing from './fillerPacing.js'
+import * as fillerRanks from './fillerRanks.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
+import * as runProgress from './runProgress.js'
 import * as sessions from './workerSession.js'
 
 const { EndKind, RejectionReason } = protocol.workflow
@@ -63,13 +65,13 @@
   /** Worker incarnations that this term has heard of, with the time of their newest list. */
   const listedMs = new Map<string, number>()
   const checkpoints = new Map<string, string>()
-  const progress = new Map<string, scheduling.Progress>()
   const begunJobs = new Set<string>()
   const badPlaces = new Map<string, Set<string>>()
   const ending = new Set<string>()
   const stalled = new Set<string>()
   const health = scheduling.createHealth()
   const durations = scheduling.createDurations()
+  const progress = runProgress.createRunProgress(durations)
   const disturbance = scheduling.createDisturbance()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
 
@@ -90,8 +92,7 @@
     if (run === undefined) return
     const key = workflowState.taskKey(run)
     const now = nowMs()
-    const seen = progress.get(workflowState.runKey(run))
-    progress.delete(workflowState.runKey(run))
+    const seen = progress.end(run, kind !== EndKind.COMPLETED && checkpointOf(run) !== '')
     pacing.forget(workflowState.runKey(run))
     const wasStalled = stalled.delete(workflowState.runKey(run))
     if (kind === EndKind.COMPLETED) {
@@ -135,7 +136,10 @@
   /** A filler starts at the pace that its neighbours are expected to bear. */
   const startPace = ({ step, task }: workflowState.ActiveRun): number => {
     if (!step.spec.filling || task.worker === undefined) return FULL_PERCENT
-    const bearable = disturbance.room(workflowState.workerKey(task.worker), step.spec.image)
+    const key = workflowState.workerKey(task.worker)
+    const load = view.loads.get(key)
+    const isNew = Math.max(1, scheduling.unlistedFillers(key, load, disturbance))
+    const bearable = disturbance.room(key, step.spec.image, ranks.rankOf(step)) / isNew
     return Math.round(Math.min(1, bearable) * FULL_PERCENT)
   }
 
@@ -213,7 +217,7 @@
   const noteRunning = (session: sessions.WorkerSession): void => {
     const unknown: TaskRun[] = []
     const now = nowMs()
-    for (const [key, task] of session.running) {
+    for (const task of session.running.values()) {
       if (task.run === undefined) continue
       const active = activeRun(task.run)
       if (active === undefined || !isHeldBy(active, session.key)) {
@@ -224,7 +228,7 @@
       if (task.checkpoint !== '') {
         checkpoints.set(workflowState.taskKey(task.run), task.checkpoint)
       }
-      progress.set(key, scheduling.nextProgress(progress.get(key), task.progressPercent, now))
+      progress.note(active, task, task.run, now)
     }
     if (unknown.length === 0) return
     logger.info('worker runs what is not assigned to it', {
@@ -351,7 +355,7 @@
     if (!session.draining) return false
     const { spec } = active.step
     if (spec.lasting || spec.checkpointing) return true
-    const seen = progress.get(workflowState.runKey(runOf(active)))
+    const seen = progress.of(runOf(active))
     const remaining = durations.expect(active.step) * (1 - (seen?.percent ?? 0) / 100)
     return remaining > session.drainRemainingMs
   }
@@ -359,12 +363,11 @@
   const isStalled = (session: sessions.WorkerSession, active: workflowState.ActiveRun): boolean => {
     const { spec } = active.step
     if (spec.filling || spec.lasting || spec.gang) return false
-    const key = workflowState.runKey(runOf(active))
-    const seen = progress.get(key)
+    const seen = progress.of(runOf(active))
     // Without lists there is no progress to see, whatever the run does.
     if (seen === undefined || session.listedMs === undefined) return false
     if (!scheduling.isStalled(seen, durations.expect(active.step), session.listedMs)) return false
-    stalled.add(key)
+    stalled.add(workflowState.runKey(runOf(active)))
     return true
   }
 
@@ -372,8 +375,7 @@
     const stops: TaskRun[] = []
     for (const active of load.runs.values()) {
       const obsolete = active.step.job.phase !== 'active'
-      const key = workflowState.runKey(runOf(active))
-      const moves = shouldLeave(session, active) || pacing.shouldMove(active, key)
+      const moves = shouldLeave(session, active) || pacing.shouldMove(active, runOf(active))
       if (obsolete || moves || isStalled(session, active)) stops.push(runOf(active))
     }
     session.stop(stops)
@@ -433,14 +435,30 @@
     for (const [key, orders] of byWorker) sessionOf(key)?.start(orders)
   }
 
+  const ranks = fillerRanks.createFillerRanks({
+    view,
+    expected: durations,
+    disturbance,
+    nowMs,
+    percentOf: progress.percentOf,
+    eligibleWorkers,
+  })
+
   const pacing = fillerPacing.createFillerPacing({
     disturbance,
-    expected: durations,
+    rankOf: ranks.rankOf,
+    leftCpuMillis: ({ worker, key }) =>
+      worker?.capacity === undefined
+        ? 0
+        : scheduling.leftToFillers(worker.capacity, view.loads.get(key)),
     activeRun,
     nowMs,
-    percentOf: (key) => progress.get(key)?.percent ?? 0,
+    percentOf: progress.percentOf,
     hasGoodPlace: (step) =>
-      scheduling.hasGoodPlace({ view, workers: eligibleWorkers(), disturbance }, step),
+      scheduling.hasGoodPlace(
+        { view, workers: eligibleWorkers(), disturbance, fillerRank: ranks.rankOf },
+        step,
+      ),
   })
 
   const rounds = assignmentRounds.createAssignmentRounds({
@@ -449,6 +467,7 @@
     expected: durations,
     disturbance,
     eligibleWorkers,
+    fillerRank: ranks.rankOf,
     avoids: (place, worker) => badPlaces.get(workflowState.taskKey(place))?.has(worker) ?? false,
     start: sendStarts,
   })
--- a/packages/workflow-scheduling/__tests__/health.spec.ts
+++ b/packages/workflow-scheduling/__tests__/health.spec.ts
@@ -1,7 +1,9 @@
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as vitest from 'vitest'
+import * as support from './support.js'
 
 const { describe, expect, it } = vitest
+const { createCell, step, worker } = support
 
 describe('health of a worker', () => {
   it.each([
@@ -51,7 +53,7 @@
   ])('$name: stalled $stalled', ({ percents, expectedMs, stalled }) => {
     let progress: scheduling.Progress | undefined
     for (const [index, percent] of percents.entries()) {
-      progress = scheduling.nextProgress(progress, percent, index * 2_000)
+      progress = scheduling.nextProgress(progress, percent, 100, index * 2_000)
     }
     if (progress === undefined) throw new Error('no progress')
     expect(scheduling.isStalled(progress, expectedMs, 4_001)).toBe(stalled)
@@ -70,3 +72,47 @@
     expect(durations.expect(step)).toBeCloseTo(3_000, -1)
   })
 })
+
+describe('speed of a step', () => {
+  const before = { percent: 20, startedMs: 0, advancedMs: 1_000, listedMs: 1_000, pacePercent: 50 }
+  const cases: readonly {
+    readonly name: string
+    readonly after: Partial<scheduling.Progress>
+    readonly worked: scheduling.Worked | undefined
+  }[] = [
+    {
+      name: 'counts time at full pace',
+      after: { percent: 30 },
+      worked: { workedMs: 500, part: 0.1 },
+    },
+    { name: 'counts a time without progress', after: {}, worked: { workedMs: 500, part: 0 } },
+    {
+      name: 'leaves out a change of pace',
+      after: { percent: 30, pacePercent: 100 },
+      worked: undefined,
+    },
+    { name: 'leaves out a run that stands still', after: { listedMs: 9_000 }, worked: undefined },
+    { name: 'leaves out the end, which came earlier', after: { percent: 100 }, worked: undefined },
+  ]
+
+  // Guards against estimates that are wrong by a factor of two or more, and stay so.
+  it.each(cases)('$name', ({ after, worked }) => {
+    const seen = scheduling.workedBetween(before, { ...before, listedMs: 2_000, ...after })
+    if (worked === undefined) expect(seen).toBeUndefined()
+    else {
+      expect(seen?.workedMs).toBe(worked.workedMs)
+      expect(seen?.part).toBeCloseTo(worked.part)
+    }
+  })
+
+  it('replaces the estimate once a part of a task was seen', () => {
+    const cell = createCell([worker('v')])
+    cell.submit('fill', [step({ filling: true, estimatedMs: 1_000 })])
+    const [ready] = [...cell.state.view.readySteps]
+    if (ready === undefined) throw new Error('no ready step')
+    cell.expected.observeProgress(ready, 400, 0.1)
+    expect(cell.expected.expect(ready)).toBe(1_000)
+    cell.expected.observeProgress(ready, 400, 0.1)
+    expect(cell.expected.expect(ready)).toBe(4_000)
+  })
+})
--- a/packages/workflow-scheduling/__tests__/pacing.spec.ts
+++ b/packages/workflow-scheduling/__tests__/pacing.spec.ts
@@ -185,6 +185,45 @@
   })
 })
 
+describe('fillers that compete on one worker', () => {
+  const SERVING = { key: 's', image: 'serve', targetMs: TARGET_MS }
+  const FIRST = { key: 'first', image: 'f', rank: 0, pacePercent: 0 }
+  const LAST = { key: 'last', image: 'f', rank: 3, pacePercent: 100 }
+
+  // Guards against fillers that all take twice their time, since the processors bear only half of them.
+  it.each([
+    { name: 'bounded', leftCpuMillis: 4_000, expected: [100, 0, 100] },
+    { name: 'bounded within a task', leftCpuMillis: 3_000, expected: [100, 0, 50] },
+    { name: 'unknown', leftCpuMillis: undefined, expected: [100, 100, 100] },
+  ])('pauses the last ones where the processors are $name', ({ leftCpuMillis, expected }) => {
+    const disturbance = scheduling.createDisturbance()
+    const filling = [0, 2, 1].map((rank) => ({
+      key: `f${rank}`,
+      image: 'f',
+      rank,
+      pacePercent: 100,
+      cpuMillis: 2_000,
+    }))
+    const bound = leftCpuMillis === undefined ? {} : { leftCpuMillis }
+    const neighbours = { serving: [], filling, ...bound }
+    disturbance.observe('w', neighbours, 0)
+    expect(disturbance.paces('w', neighbours, 0)).toEqual(expected)
+  })
+
+  it.each([
+    { name: 'counts what later ones would yield', rank: 0, least: 2, most: Infinity },
+    { name: 'leaves room to paused ones that go before it', rank: 9, least: 0, most: 1.2 },
+  ])('room for another filler $name', ({ rank, least, most }) => {
+    const disturbance = scheduling.createDisturbance()
+    disturbance.observe('w', { serving: [{ ...SERVING, tailMs: FLOOR_MS }], filling: [] }, 0)
+    const filling = [{ ...LAST, key: 'a' }, LAST, { ...FIRST, rank: 1 }]
+    disturbance.observe('w', { serving: [{ ...SERVING, tailMs: 20 }], filling }, 100)
+    const room = disturbance.room('w', 'f', rank)
+    expect(room).toBeGreaterThanOrEqual(least)
+    expect(room).toBeLessThanOrEqual(most)
+  })
+})
+
 describe('alarm of an agent', () => {
   it.each([
     { name: 'a short miss', tails: [60, 60, 60], raised: false },
--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -137,4 +137,42 @@
     expect(scheduling.bestFillingRate(cell.input(), ready)).toBe(1)
     expect(scheduling.bestFillingRate({ ...cell.input(), workers: [] }, ready)).toBe(0)
   })
+
+  const observeRoom = (cell: ReturnType<typeof createCell>, tailMs: number): void => {
+    const serving = { key: 's', image: 'i', targetMs: 50 }
+    cell.disturbance.observe('v@1', { serving: [{ ...serving, tailMs: 10 }], filling: [] }, 0)
+    cell.disturbance.observe('v@1', { serving: [{ ...serving, tailMs }], filling: [] }, 400)
+  }
+
+  it('guards against a worker that gets a filler in each round until its next list', () => {
+    const cell = createCell([worker('v')])
+    observeRoom(cell, 20)
+    cell.submit('fill', [step({ taskCount: 12, filling: true, image: 'f' })])
+    const first = cell.plan()
+    expect(first.length).toBeGreaterThan(0)
+    expect(cell.plan()).toEqual([])
+    expect(cell.plan()).toEqual([])
+  })
+
+  it('guards against processors that fillers of later jobs keep from an earlier one', () => {
+    const cell = createCell([
+      worker('v', { capacity: { cpuMillis: 4_000, memoryMb: 1_000, accelerators: 0 } }),
+    ])
+    const ranks: Readonly<Record<string, number>> = { early: 0, late: 1 }
+    const fillerRank: scheduling.PlacementInput['fillerRank'] = ({ job }) => ranks[job.spec.id] ?? 0
+    const claim = { cpuMillis: 2_000, memoryMb: 10, accelerators: 0 }
+    cell.submit('late', [step({ taskCount: 4, filling: true, image: 'f', claim })])
+    expect(cell.plan({ fillerRank })).toEqual(['late.0.0 v', 'late.0.1 v'])
+    cell.submit('early', [step({ taskCount: 4, filling: true, image: 'f', claim })])
+    expect(cell.plan({ fillerRank })).toEqual(['early.0.0 v', 'early.0.1 v'])
+  })
+
+  it('says how many fillers could work at full speed', () => {
+    const cell = createCell([worker('v'), worker('u')])
+    cell.submit('fill', [step({ taskCount: 4, filling: true, image: 'f' })])
+    const steps = [...cell.state.view.readySteps]
+    expect(scheduling.fillingSupply(cell.input(), steps)).toBe(32)
+    observeRoom(cell, 20)
+    expect(scheduling.fillingSupply(cell.input(), steps)).toBeLessThan(20)
+  })
 })
--- a/packages/workflow-scheduling/__tests__/support.ts
+++ b/packages/workflow-scheduling/__tests__/support.ts
@@ -57,6 +57,7 @@
     maxAssignments: 100,
     avoids: () => false,
     disturbance,
+    fillerRank: () => 0,
     waitedMs: () => 0,
   })
   /** Plans and applies; returns "job.step.index worker" in the order of the plan. */
--- a/packages/workflow-scheduling/src/durations.ts
+++ b/packages/workflow-scheduling/src/durations.ts
@@ -10,9 +10,17 @@
 /** Images remembered; the one observed longest ago is forgotten first. */
 const MAX_IMAGES = 4_096
 
+/** Part of one task whose progress must have been seen before a step's own speed replaces the estimate. */
+const MIN_SEEN_PART = 0.15
+
 /** Duration assumed for a task without an estimate, in milliseconds. */
 export const DEFAULT_DURATION_MS = 2_000
 
+interface Seen {
+  workedMs: number
+  part: number
+}
+
 interface Learned {
   readonly meanRatio: number
   readonly observations: number
@@ -21,6 +29,11 @@
 /** Learned ratio of actual to estimated duration. */
 export interface Durations {
   readonly observe: (step: workflowState.StepView, durationMs: number) => void
+  /**
+   * Learns from the progress of one of a step's tasks: the full-speed time in which a part (0 to 1) of it was done. The
+   * tasks of a step take nearly the same time, while its estimate is often wrong by a factor of two or more.
+   */
+  readonly observeProgress: (step: workflowState.StepView, workedMs: number, part: number) => void
   /** Expected duration of one task in milliseconds. */
   readonly expect: (step: workflowState.StepView) => number
 }
@@ -33,6 +46,7 @@
 
 export const createDurations = (): Durations => {
   const learned = new Map<string, Learned>()
+  const seenOf = new WeakMap<workflowState.StepView, Seen>()
 
   return {
     observe: (step, durationMs) => {
@@ -48,7 +62,15 @@
       const oldest = learned.keys().next()
       if (learned.size > MAX_IMAGES && oldest.done !== true) learned.delete(oldest.value)
     },
+    observeProgress: (step, workedMs, part) => {
+      const seen = seenOf.get(step) ?? { workedMs: 0, part: 0 }
+      seen.workedMs += workedMs
+      seen.part += part
+      seenOf.set(step, seen)
+    },
     expect: (step) => {
+      const seen = seenOf.get(step)
+      if (seen !== undefined && seen.part >= MIN_SEEN_PART) return seen.workedMs / seen.part
       const known = learned.get(imageOf(step))
       if (known === undefined || known.observations < MIN_OBSERVATIONS) return estimateOf(step)
       return estimateOf(step) * known.meanRatio
--- a/packages/workflow-scheduling/src/index.ts
+++ b/packages/workflow-scheduling/src/index.ts
@@ -2,6 +2,7 @@
 export * from './admission.js'
 export * from './alarm.js'
 export * from './durations.js'
+export * from './focus.js'
 export * from './health.js'
 export * from './neighbours.js'
 export * from './order.js'
--- a/packages/workflow-scheduling/src/neighbours.ts
+++ b/packages/workflow-scheduling/src/neighbours.ts
@@ -17,10 +17,14 @@
   readonly pacePercent: number
   /** Place of its job among the jobs that compete: fillers of a higher rank are slowed first. @default 0 */
   readonly rank?: number
+  /** Processors that it uses at full pace. @default 0 */
+  readonly cpuMillis?: number
 }
 
 /** What runs on one worker, from one list. */
 export interface Neighbours {
   readonly serving: readonly ServingTask[]
   readonly filling: readonly FillingTask[]
+  /** Processors that the other tasks leave to the fillers; unbounded if it is not known. */
+  readonly leftCpuMillis?: number
 }
--- a/packages/workflow-scheduling/src/order.ts
+++ b/packages/workflow-scheduling/src/order.ts
@@ -5,16 +5,16 @@
 /** A job still earns something until this many times its objective. */
 export const LATE_FACTOR = 3
 
-/** Longest chain of tasks from each step to the end of its occurrence, in milliseconds, by step. */
-const chainsToEnd = (
+/** Longest chain from each step to the end of its occurrence, in milliseconds, by step; `ownMs` is the time of a step. */
+export const chainsToEnd = (
   steps: readonly workflowState.StepView[],
-  expected: durations.Durations,
+  ownMs: (step: workflowState.StepView) => number,
 ): readonly number[] => {
   const chains = steps.map(() => 0)
   for (let index = steps.length - 1; index >= 0; index -= 1) {
     const step = steps[index]
     if (step === undefined) continue
-    const own = (chains[index] ?? 0) + expected.expect(step)
+    const own = (chains[index] ?? 0) + ownMs(step)
     chains[index] = own
     for (const before of step.spec.after) chains[before] = Math.max(chains[before] ?? 0, own)
   }
@@ -26,9 +26,6 @@
 /** Work that can be in time comes before work that cannot: under overload the reverse makes everything late. */
 const OUTLOOK_ORDER: Readonly<Record<Outlook, number>> = { 'in-time': 0, late: 1, expired: 2 }
 
-/** Place of an outlook in that order; a lower one comes first. */
-export const outlookRank = (outlook: Outlook): number => OUTLOOK_ORDER[outlook]
-
 /** How soon a step has to start. */
 export interface Urgency {
   readonly priority: number
@@ -44,7 +41,7 @@
   queue: workflowState.JobView['queue'],
   expected: durations.Durations,
 ): number =>
-  Math.max(0, ...chainsToEnd(steps, expected)) * queue.slackFactor + queue.latencyTargetMs
+  Math.max(0, ...chainsToEnd(steps, expected.expect)) * queue.slackFactor + queue.latencyTargetMs
 
 /** Start of the time in which an occurrence of a job should be done, as a time of day. */
 export const dueMs = (job: workflowState.JobView, occurrence: number): number =>
@@ -62,7 +59,7 @@
   const steps = job.occurrences.get(step.occurrence)?.steps ?? []
   const objective = objectiveMs(steps, job.queue, expected)
   const startMs = dueMs(job, step.occurrence)
-  const chain = chainsToEnd(steps, expected)[step.index] ?? 0
+  const chain = chainsToEnd(steps, expected.expect)[step.index] ?? 0
   const latestStartMs = startMs + objective - chain
   const outlook = (): Outlook => {
     if (step.spec.lasting || nowMs <= latestStartMs) return 'in-time'
--- a/packages/workflow-scheduling/src/pacing.ts
+++ b/packages/workflow-scheduling/src/pacing.ts
@@ -8,22 +8,11 @@
  * serving task, which cancels its own load, and are shared between workers.
  */
 import type * as lists from './neighbours.js'
-
-/** Share of its target at which a serving task's tail is held. */
-const HELD_SHARE = 0.75
-
-/** Share of its target above which fillers slow down. */
-const SLOW_DOWN_SHARE = 0.88
+import * as paces from './paces.js'
 
 /** Utilization above which a figure says no more than that the worker is overloaded. */
 const SATURATED = 0.92
 
-/** Part of the free utilization that one change may use, since the serving tasks' own load rises meanwhile. */
-const SPEED_UP_PART = 0.6
-
-/** Time between two changes that let fillers work faster, in milliseconds: one figure after the one before. */
-const SPEED_UP_INTERVAL_MS = 500
-
 /** Time constant of the smoothing of figures, in milliseconds, as seen when a filler is paused. */
 const FIGURE_SMOOTHING_MS = 450
 
@@ -33,26 +22,14 @@
 /** Tail between two figures, as a share of the second one, below which the tail falls fast. */
 const FALLING_SHARE = 0.6
 
+const FULL_PERCENT = 100
+
 /** Time before the worker carries a pace out, in milliseconds. */
 const PACE_DELAY_MS = 100
 
 /** Time for which changes of pace are remembered, in milliseconds: a few figures. */
 const CHANGE_MEMORY_MS = 3_000
 
-/** Lowest pace that is worth ordering, in percent. */
-const MIN_PACE_PERCENT = 10
-
-const FULL_PERCENT = 100
-
-/** Pace of a filler that is tried again, in percent: enough of a change to learn from. */
-const PROBE_PERCENT = 45
-
-/** Free utilization that a trial needs; a strong filler adds about this much at the pace of a trial. */
-const PROBE_HEADROOM = 0.12
-
-/** Time between two trials on one worker, in milliseconds. */
-const PROBE_INTERVAL_MS = 1_500
-
 /** Utilization that one filler of an unknown pair adds at full pace; two of them fit beside an average load. */
 const PRIOR_AMOUNT = 0.15
 const PRIOR_VARIANCE = 0.04
@@ -63,9 +40,6 @@
 /** Largest amount that is believed of one filler. */
 const MAX_AMOUNT = 0.5
 
-/** Amount up to which a filler counts as harmless; pausing it would not help. */
-const HARMLESS_AMOUNT = 0.03
-
 /** Own utilization of a serving task before its first figures, and the bound of what is believed of it. */
 const PRIOR_LOAD = 0.45
 const PRIOR_LOAD_VARIANCE = 0.01
@@ -103,9 +77,6 @@
 interface WorkerMemory {
   readonly fillers: Map<string, Filler>
   readonly figures: Map<string, Figure>
-  spedUpMs: number
-  probedMs: number
-  probes: number
 }
 
 /** Last figure of a serving task, and what is believed of its own load. */
@@ -133,8 +104,13 @@
   readonly paces: (worker: string, neighbours: lists.Neighbours, nowMs: number) => readonly number[]
   /** Utilization that a filler adds to a serving task at full pace. */
   readonly amount: (servingImage: string, fillingImage: string) => number
-  /** Fillers of an image that the worker's serving tasks bear beside what runs there, from its newest list. */
-  readonly room: (worker: string, fillingImage: string) => number
+  /**
+   * Fillers of an image that the worker's serving tasks bear beside what runs there, from its newest list. Fillers of a
+   * higher rank than `rank` would make way, and paused ones of the same or a lower rank come first.
+   */
+  readonly room: (worker: string, fillingImage: string, rank?: number) => number
+  /** Whether the worker's newest list shows a filler. */
+  readonly isListed: (worker: string, fillerKey: string) => boolean
   readonly forget: (worker: string) => void
 }
 
@@ -186,13 +162,7 @@
   const memoryOf = (worker: string): WorkerMemory => {
     const known = memories.get(worker)
     if (known !== undefined) return known
-    const created: WorkerMemory = {
-      fillers: new Map(),
-      figures: new Map(),
-      spedUpMs: Number.NEGATIVE_INFINITY,
-      probedMs: Number.NEGATIVE_INFINITY,
-      probes: 0,
-    }
+    const created: WorkerMemory = { fillers: new Map(), figures: new Map() }
     memories.set(worker, created)
     return created
   }
@@ -321,134 +291,42 @@
     }
   }
 
-  const rankOf = (filler: lists.FillingTask | undefined): number => filler?.rank ?? 0
-
-  /** Slows fillers until every serving task is back at its held share: the highest rank first, then what disturbs most. */
-  const slowDown = (
-    chosen: number[],
-    { serving, filling }: lists.Neighbours,
-    memory: WorkerMemory,
-  ): void => {
-    for (const task of serving) {
-      if (headroomOf(memory, task, SLOW_DOWN_SHARE) >= 0) continue
-      let excess = -headroomOf(memory, task, HELD_SHARE)
-      const effects = filling.map(({ image }) => amount(task.image, image))
-      const order = [...effects.keys()].sort(
-        (a, b) => rankOf(filling[b]) - rankOf(filling[a]) || (effects[b] ?? 0) - (effects[a] ?? 0),
-      )
-      for (const index of order) {
-        const effect = effects[index] ?? 0
-        const share = (chosen[index] ?? 0) / FULL_PERCENT
-        if (excess <= 0 || share === 0 || effect <= HARMLESS_AMOUNT) continue
-        const cut = Math.min(share, excess / effect)
-        chosen[index] = Math.round((share - cut) * FULL_PERCENT)
-        excess -= cut * effect
-      }
-      if (excess > 0 && task.tailMs > task.targetMs) pauseSuspect(chosen, task, filling)
-    }
-  }
-
-  /** Pauses one more filler when the learned amounts do not explain why a target is missed. */
-  const pauseSuspect = (
-    chosen: number[],
-    task: lists.ServingTask,
-    filling: readonly lists.FillingTask[],
-  ): void => {
-    let suspect: number | undefined
-    let highest = Number.NEGATIVE_INFINITY
-    for (const [index, { image }] of filling.entries()) {
-      if ((chosen[index] ?? 0) === 0) continue
-      const { mean, variance } = amountOf(pairKey(task.image, image))
-      const possible = mean + Math.sqrt(variance)
-      if (possible <= highest) continue
-      suspect = index
-      highest = possible
-    }
-    if (suspect !== undefined) chosen[suspect] = 0
-  }
-
-  /** Lets fillers use part of the free utilization: the lowest rank first, then what disturbs least; true if a pace changed. */
-  const speedUp = (
-    chosen: number[],
-    { serving, filling }: lists.Neighbours,
-    memory: WorkerMemory,
-  ): boolean => {
-    const free = serving.map((task) => headroomOf(memory, task, HELD_SHARE) * SPEED_UP_PART)
-    const worst = filling.map(({ image }) =>
-      Math.max(0, ...serving.map((task) => amount(task.image, image))),
-    )
-    const order = [...worst.keys()].sort(
-      (a, b) => rankOf(filling[a]) - rankOf(filling[b]) || (worst[a] ?? 0) - (worst[b] ?? 0),
-    )
-    let changed = false
-    for (const index of order) {
-      const image = filling[index]?.image ?? ''
-      const share = (chosen[index] ?? 0) / FULL_PERCENT
-      let gain = 1 - share
-      for (const [position, task] of serving.entries()) {
-        const effect = amount(task.image, image)
-        if (effect <= HARMLESS_AMOUNT) continue
-        gain = Math.min(gain, Math.max(0, free[position] ?? 0) / effect)
-      }
-      if (gain <= 0 || (gain * FULL_PERCENT < MIN_PACE_PERCENT && share + gain < 1)) continue
-      for (const [position, task] of serving.entries()) {
-        free[position] = (free[position] ?? 0) - gain * amount(task.image, image)
-      }
-      chosen[index] = Math.round((share + gain) * FULL_PERCENT)
-      changed = true
-    }
-    return changed
-  }
-
-  /** Tries a paused filler again, since a pair that is always paused teaches nothing; true if one is tried. */
-  const probe = (
-    chosen: number[],
-    { serving, filling }: lists.Neighbours,
-    memory: WorkerMemory,
-    nowMs: number,
-  ): boolean => {
-    if (nowMs - memory.probedMs < PROBE_INTERVAL_MS) return false
-    if (serving.some((task) => headroomOf(memory, task, HELD_SHARE) < PROBE_HEADROOM)) return false
-    const paused = [...filling.keys()].filter((index) => chosen[index] === 0)
-    const next = paused[memory.probes % Math.max(1, paused.length)]
-    if (next === undefined) return false
-    memory.probes += 1
-    memory.probedMs = nowMs
-    chosen[next] = PROBE_PERCENT
-    return true
-  }
-
-  const paces: Disturbance['paces'] = (worker, neighbours, nowMs) => {
-    const { serving, filling } = neighbours
-    const chosen = filling.map(({ pacePercent }) => pacePercent)
-    const memory = memoryOf(worker)
-    const pressed = serving.some((task) => headroomOf(memory, task, SLOW_DOWN_SHARE) < 0)
-    if (pressed) slowDown(chosen, neighbours, memory)
-    else if (nowMs - memory.spedUpMs >= SPEED_UP_INTERVAL_MS) {
-      const changed =
-        speedUp(chosen, neighbours, memory) || probe(chosen, neighbours, memory, nowMs)
-      if (changed) memory.spedUpMs = nowMs
-    }
-    return chosen.map((percent) => (percent < MIN_PACE_PERCENT ? 0 : percent))
-  }
+  const choosePaces = paces.createPaces({
+    amount,
+    suspicion: (servingImage, fillingImage) => {
+      const { mean, variance } = amountOf(pairKey(servingImage, fillingImage))
+      return mean + Math.sqrt(variance)
+    },
+    headroom: (worker, task, share) => headroomOf(memories.get(worker), task, share),
+  })
 
-  const room: Disturbance['room'] = (worker, fillingImage) => {
-    const shares = (latest.get(worker)?.serving ?? []).map((task) => {
+  const room: Disturbance['room'] = (worker, fillingImage, rank = Number.POSITIVE_INFINITY) => {
+    const { serving = [], filling = [] } = latest.get(worker) ?? {}
+    const shares = serving.map((task) => {
       const effect = amount(task.image, fillingImage)
-      if (effect <= HARMLESS_AMOUNT) return Number.POSITIVE_INFINITY
-      return Math.max(0, headroomOf(memories.get(worker), task, HELD_SHARE)) / effect
+      if (effect <= paces.HARMLESS_AMOUNT) return Number.POSITIVE_INFINITY
+      let free = headroomOf(memories.get(worker), task, paces.HELD_SHARE)
+      for (const filler of filling) {
+        const share = filler.pacePercent / FULL_PERCENT
+        const yields = (filler.rank ?? 0) > rank
+        free += amount(task.image, filler.image) * (yields ? share : share - 1)
+      }
+      return Math.max(0, free) / effect
     })
     return Math.min(...shares)
   }
 
   return {
     observe,
-    paces,
+    paces: choosePaces.paces,
     amount,
     room,
+    isListed: (worker, fillerKey) =>
+      latest.get(worker)?.filling.some(({ key }) => key === fillerKey) ?? false,
     forget: (worker) => {
       memories.delete(worker)
       latest.delete(worker)
+      choosePaces.forget(worker)
     },
   }
 }
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -23,10 +23,17 @@
   /** Whether a task had a bad end on a worker. */
   readonly avoids: (place: workflowState.TaskPlace, workerId: string) => boolean
   readonly disturbance: pacing.Disturbance
+  /** Rank of a filling step's job; a lower one goes first. See `rankFillingJobs`. */
+  readonly fillerRank: (step: workflowState.StepView) => number
   /** Time for which a step has been ready, in milliseconds. */
   readonly waitedMs: (step: workflowState.StepView) => number
 }
 
+/** Rank to which every filler makes way. */
+const FIRST_RANK = -1
+
+type FillingInput = Pick<PlacementInput, 'view' | 'workers' | 'disturbance' | 'fillerRank'>
+
 export interface Plan {
   readonly workers: readonly protocol.workflow.WorkerDescription[]
   readonly assignments: readonly protocol.workflow.Assignment[]
@@ -40,19 +47,60 @@
   cpuMillis: number
   memoryMb: number
   accelerators: number
-  /** Processors that filling tasks would use if they were free. */
-  fillingCpuMillis: number
+  /** Processors that the other tasks leave to fillers. */
+  readonly leftCpuMillis: number
+  /** Fillers that are here or planned, with the processors that they would use. */
+  readonly fillers: { readonly rank: number; readonly cpuMillis: number }[]
   readonly runsOfStep: Map<workflowState.StepView, number>
-  /** Fillers that this plan puts here. */
+  /** Fillers that the worker's newest list does not show, with those of this plan. */
   planned: number
 }
 
+/**
+ * Processors of a worker that its other tasks do not reserve. Serving tasks use less than they reserve, but counting on
+ * that put more fillers beside them than their tails bore, in trials on both sites.
+ */
+export const leftToFillers = (
+  capacity: protocol.workflow.Resources,
+  load: workflowState.WorkerLoad | undefined,
+): number => Math.max(0, capacity.cpuMillis - (load?.cpuMillis ?? 0))
+
+const placeOf = (
+  step: workflowState.StepView,
+  task: workflowState.TaskView,
+): protocol.workflow.TaskRun => ({
+  job: step.job.spec.id,
+  occurrence: step.occurrence,
+  step: step.index,
+  index: task.index,
+  run: 0,
+})
+
+const runKeyOf = ({ step, task }: workflowState.ActiveRun): string =>
+  workflowState.runKey({ ...placeOf(step, task), run: task.run })
+
+/** Fillers of a worker that its newest list does not show yet. */
+export const unlistedFillers = (
+  worker: string,
+  load: workflowState.WorkerLoad | undefined,
+  disturbance: pacing.Disturbance,
+): number => {
+  let count = 0
+  for (const active of load?.runs.values() ?? []) {
+    if (active.step.spec.filling && !disturbance.isListed(worker, runKeyOf(active))) count += 1
+  }
+  return count
+}
+
 const createRoom = (
   worker: PlacementWorker,
-  load: workflowState.WorkerLoad | undefined,
+  { view, disturbance, fillerRank }: FillingInput,
 ): Room | undefined => {
   const { identity, capacity } = worker.description
   if (identity === undefined || capacity === undefined) return undefined
+  const key = workflowState.workerKey(identity)
+  const load = view.loads.get(key)
+  const fillers = [...(load?.runs.values() ?? [])].filter(({ step }) => step.spec.filling)
   return {
     worker,
     identity,
@@ -60,9 +108,13 @@
     cpuMillis: capacity.cpuMillis - (load?.cpuMillis ?? 0),
     memoryMb: capacity.memoryMb - (load?.memoryMb ?? 0),
     accelerators: capacity.accelerators - (load?.accelerators ?? 0),
-    fillingCpuMillis: load?.fillingCpuMillis ?? 0,
+    leftCpuMillis: leftToFillers(capacity, load),
+    fillers: fillers.map(({ step }) => ({
+      rank: fillerRank(step),
+      cpuMillis: workflowState.claimOf(step.spec).cpuMillis,
+    })),
     runsOfStep: new Map(load?.runsOfStep),
-    planned: 0,
+    planned: unlistedFillers(key, load, disturbance),
   }
 }
 
@@ -78,13 +130,14 @@
   )
 }
 
-const reserve = (room: Room, step: workflowState.StepView): void => {
+const reserve = (room: Room, step: workflowState.StepView, rank: number): void => {
   const claim = workflowState.claimOf(step.spec)
-  if (step.spec.filling) room.fillingCpuMillis += claim.cpuMillis
-  else room.cpuMillis -= claim.cpuMillis
+  if (step.spec.filling) {
+    room.fillers.push({ rank, cpuMillis: claim.cpuMillis })
+    room.planned += 1
+  } else room.cpuMillis -= claim.cpuMillis
   room.memoryMb -= claim.memoryMb
   room.accelerators -= claim.accelerators
-  if (step.spec.filling) room.planned += 1
   room.runsOfStep.set(step, (room.runsOfStep.get(step) ?? 0) + 1)
 }
 
@@ -104,19 +157,25 @@
 const REPEATED_WORKER_COST = 10
 
 /**
- * Share of full speed at which a filler would work: what its neighbours bear of it, and the processors that are left.
- * Fillers planned in this round are not in the worker's figures yet, so each one takes its part of the room.
+ * Share of full speed at which a filler would work: what its neighbours bear of it, and the processors that are left by
+ * those that go before it. Fillers that are not in the worker's figures yet take their part of the
+ * room.
  */
 const fillingRate = (
   room: Room,
   step: workflowState.StepView,
+  rank: number,
   disturbance: pacing.Disturbance,
 ): number => {
   const { cpuMillis } = workflowState.claimOf(step.spec)
-  const bearable = disturbance.room(workflowState.workerKey(room.identity), step.spec.image)
-  const demand = cpuMillis + room.fillingCpuMillis
-  const left = room.cpuMillis / Math.max(1, demand)
-  return Math.min(1, bearable / (1 + room.planned)) * Math.min(1, left)
+  const key = workflowState.workerKey(room.identity)
+  const bearable = disturbance.room(key, step.spec.image, rank)
+  const takenMillis = room.fillers.reduce(
+    (sum, filler) => (filler.rank <= rank ? sum + filler.cpuMillis : sum),
+    0,
+  )
+  const left = Math.max(0, room.leftCpuMillis - takenMillis) / Math.max(1, cpuMillis)
+  return Math.min(1, bearable / (1 + room.planned), left)
 }
 
 /**
@@ -128,13 +187,13 @@
   step: workflowState.StepView,
   isAvoided: boolean,
   racksOfStep: ReadonlySet<string>,
-  disturbance: pacing.Disturbance,
+  fillingRateHere: number,
 ): number => {
   const { description, badEnds } = room.worker
   const { dataRack, filling, sameRack } = step.spec
   const freeShare = room.cpuMillis / Math.max(1, room.capacity.cpuMillis)
   let cost = badEnds * BAD_END_COST
-  cost += filling ? 1 - fillingRate(room, step, disturbance) : freeShare
+  cost += filling ? 1 - fillingRateHere : freeShare
   if (isAvoided) cost += REPEATED_WORKER_COST
   if (dataRack !== '' && dataRack !== description.rack) cost += OTHER_RACK_COST
   if (sameRack && !isRackOfStep(racksOfStep, description.rack)) cost += OTHER_RACK_COST
@@ -144,17 +203,6 @@
 const isRackOfStep = (racks: ReadonlySet<string>, rack: string): boolean =>
   racks.size === 0 || racks.has(rack)
 
-const placeOf = (
-  step: workflowState.StepView,
-  task: workflowState.TaskView,
-): protocol.workflow.TaskRun => ({
-  job: step.job.spec.id,
-  occurrence: step.occurrence,
-  step: step.index,
-  index: task.index,
-  run: 0,
-})
-
 /** Plans a step: the tasks of a gang all or none, others as far as there is room. */
 const planStep = (
   input: PlacementInput,
@@ -171,6 +219,8 @@
       .filter((room) => (room.runsOfStep.get(step) ?? 0) > 0)
       .map(({ worker }) => worker.description.rack),
   )
+  const { filling } = step.spec
+  const rank = filling ? input.fillerRank(step) : 0
   const hasWaited = step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
@@ -182,20 +232,15 @@
     let bestCost = Number.POSITIVE_INFINITY
     for (const room of suitable) {
       if (!fits(room, step)) continue
-      const cost = costOf(
-        room,
-        step,
-        input.avoids(place, room.identity.id),
-        racks,
-        input.disturbance,
-      )
+      const rate = filling ? fillingRate(room, step, rank, input.disturbance) : 1
+      if (rate < minRate) continue
+      const cost = costOf(room, step, input.avoids(place, room.identity.id), racks, rate)
       if (cost >= bestCost) continue
-      if (step.spec.filling && fillingRate(room, step, input.disturbance) < minRate) continue
       best = room
       bestCost = cost
     }
     if (best === undefined) break
-    reserve(best, step)
+    reserve(best, step, rank)
     racks.add(best.worker.description.rack)
     planned.push({ assignment: { task: place, worker: best.identity }, room: best })
   }
@@ -208,11 +253,12 @@
 
 const giveBack = (room: Room, step: workflowState.StepView): void => {
   const claim = workflowState.claimOf(step.spec)
-  if (step.spec.filling) room.fillingCpuMillis -= claim.cpuMillis
-  else room.cpuMillis += claim.cpuMillis
+  if (step.spec.filling) {
+    room.fillers.pop()
+    room.planned -= 1
+  } else room.cpuMillis += claim.cpuMillis
   room.memoryMb += claim.memoryMb
   room.accelerators += claim.accelerators
-  if (step.spec.filling) room.planned -= 1
   room.runsOfStep.set(step, (room.runsOfStep.get(step) ?? 1) - 1)
 }
 
@@ -224,12 +270,20 @@
   for (const worker of input.workers) {
     const { identity, failureDomain } = worker.description
     if (identity === undefined || view.evacuated.has(failureDomain)) continue
-    const room = createRoom(worker, view.loads.get(workflowState.workerKey(identity)))
+    const room = createRoom(worker, input)
     if (room !== undefined) rooms.push(room)
   }
   const ordered = [...view.readySteps]
-    .map((step) => ({ step, urgency: order.urgencyOf(step, input.expected, input.nowMs) }))
-    .sort((a, b) => order.compareUrgency(a.urgency, b.urgency))
+    .map((step) => ({
+      step,
+      rank: step.spec.filling ? input.fillerRank(step) : undefined,
+      urgency: order.urgencyOf(step, input.expected, input.nowMs),
+    }))
+    .sort((a, b) => {
+      if (a.rank !== undefined && b.rank !== undefined) return a.rank - b.rank
+      if (a.rank !== undefined || b.rank !== undefined) return a.rank === undefined ? -1 : 1
+      return order.compareUrgency(a.urgency, b.urgency)
+    })
   const assignments: protocol.workflow.Assignment[] = []
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
@@ -244,24 +298,42 @@
 }
 
 /** Whether one of `workers` is a place where a filler is not left to wait for a better one. */
-export const hasGoodPlace = (
-  input: Pick<PlacementInput, 'view' | 'workers' | 'disturbance'>,
-  step: workflowState.StepView,
-): boolean => bestFillingRate(input, step) >= MIN_FILLING_RATE
+export const hasGoodPlace = (input: FillingInput, step: workflowState.StepView): boolean =>
+  bestFillingRate(input, step) >= MIN_FILLING_RATE
 
 /** Share of full speed that a filler could reach on the best of `workers`. */
-export const bestFillingRate = (
-  input: Pick<PlacementInput, 'view' | 'workers' | 'disturbance'>,
-  step: workflowState.StepView,
-): number => {
+export const bestFillingRate = (input: FillingInput, step: workflowState.StepView): number => {
+  const rank = input.fillerRank(step)
   let best = 0
   for (const worker of input.workers) {
     const { identity, failureDomain, service } = worker.description
     if (identity === undefined || service !== step.job.queue.service) continue
     if (input.view.evacuated.has(failureDomain)) continue
-    const room = createRoom(worker, input.view.loads.get(workflowState.workerKey(identity)))
+    const room = createRoom(worker, input)
     if (room === undefined || !fits(room, step)) continue
-    best = Math.max(best, fillingRate(room, step, input.disturbance))
+    best = Math.max(best, fillingRate(room, step, rank, input.disturbance))
   }
   return best
 }
+
+/** Tasks of the steps, which fill, that could work at full speed on the workers if nothing else filled there. */
+export const fillingSupply = (
+  input: FillingInput,
+  steps: readonly workflowState.StepView[],
+): number => {
+  let supply = 0
+  for (const worker of input.workers) {
+    const { identity, failureDomain, capacity } = worker.description
+    if (identity === undefined || capacity === undefined) continue
+    if (input.view.evacuated.has(failureDomain)) continue
+    const key = workflowState.workerKey(identity)
+    const leftCpuMillis = leftToFillers(capacity, input.view.loads.get(key))
+    const counts = steps.map((step) => {
+      const bearable = input.disturbance.room(key, step.spec.image, FIRST_RANK)
+      const { cpuMillis } = workflowState.claimOf(step.spec)
+      return Math.min(bearable, leftCpuMillis / Math.max(1, cpuMillis))
+    })
+    supply += counts.reduce((sum, count) => sum + count, 0) / Math.max(1, counts.length)
+  }
+  return supply
+}
--- a/packages/workflow-state/src/ledger.ts
+++ b/packages/workflow-state/src/ledger.ts
@@ -15,7 +15,6 @@
   cpuMillis: number
   memoryMb: number
   accelerators: number
-  fillingCpuMillis: number
   readonly runs: Map<string, ActiveRun>
   readonly runsOfStep: Map<records.StepRecord, number>
 }
@@ -50,8 +49,7 @@
 
   const change = (load: LoadRecord, step: records.StepRecord, sign: 1 | -1): void => {
     const claim = specs.claimOf(step.spec)
-    if (step.spec.filling) load.fillingCpuMillis += sign * claim.cpuMillis
-    else load.cpuMillis += sign * claim.cpuMillis
+    if (!step.spec.filling) load.cpuMillis += sign * claim.cpuMillis
     load.memoryMb += sign * claim.memoryMb
     load.accelerators += sign * claim.accelerators
     const count = (load.runsOfStep.get(step) ?? 0) + sign
@@ -81,7 +79,6 @@
       cpuMillis: 0,
       memoryMb: 0,
       accelerators: 0,
-      fillingCpuMillis: 0,
       runs: new Map(),
       runsOfStep: new Map(),
     }
--- a/packages/workflow-state/src/types.ts
+++ b/packages/workflow-state/src/types.ts
@@ -67,8 +67,6 @@
   readonly cpuMillis: number
   readonly memoryMb: number
   readonly accelerators: number
-  /** Processors that filling tasks would use if they were free. */
-  readonly fillingCpuMillis: number
   /** Active runs by task key. */
   readonly runs: ReadonlyMap<string, ActiveRun>
   /** Active runs of each step, by `stepKey`. */
