feat(workflow-agent): attempts to attach to a leader are traced

An attempt that ended without orders left no trace, so the logs could not show why agents need 4 to 8.5 s to find a late leader again. The replica sends the headers of the stream at once, which tells a stream that was accepted from one that was not. No change of logic.

--- a/packages/workflow-agent/src/leaderStream.ts
+++ b/packages/workflow-agent/src/leaderStream.ts
@@ -4,6 +4,7 @@
 import * as protocol from '@ebonyweir/protocol'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
 import * as workflowClient from '@ebonyweir/workflow-client'
+import * as attachTraces from './attachTrace.js'
 
 /** Time without orders after which a stream is replaced, in milliseconds; each report is answered at once. */
 const SILENCE_MS = 1_200
@@ -17,6 +18,8 @@
   readonly seeds: () => readonly string[]
   readonly logger: telemetry.Logger
   readonly nowMs: () => number
+  /** @default no metrics */
+  readonly metrics?: attachTraces.AttachMetrics | undefined
   readonly onOrders: (orders: protocol.workflow.WorkerOrders) => void
   /** A new stream is open; the first report is due. */
   readonly onOpen: () => void
@@ -41,6 +44,8 @@
   readonly address: string
   readonly client: protocol.workflow.WorkflowClient
   readonly call: AttachCall
+  readonly startedMs: number
+  stage: attachTraces.AttachStage
   heardMs: number
   attached: boolean
 }
@@ -48,18 +53,25 @@
 export const createLeaderStream = (options: LeaderStreamOptions): LeaderStream => {
   const { logger, nowMs } = options
   const book = workflowClient.createAddressBook(options.seeds, nowMs)
+  const trace = attachTraces.createAttachTrace({ logger, nowMs, metrics: options.metrics })
   let open: Open | undefined
   let stopped = true
   let reconnectTimer: NodeJS.Timeout | undefined
   let checkTimer: NodeJS.Timeout | undefined
 
-  const close = (closing: Open, why: string, silent: boolean): void => {
+  const close = (
+    closing: Open,
+    outcome: Exclude<attachTraces.AttemptOutcome, 'attached'>,
+    why: string,
+    suspect = outcome === 'silent',
+  ): void => {
     if (open !== closing) return
     open = undefined
     closing.call.cancel()
     closing.client.close()
-    book.reject(closing.address, silent)
-    if (closing.attached) logger.warn('detached from the leader', { address: closing.address, why })
+    book.reject(closing.address, suspect)
+    if (closing.attached) trace.noteDetached(closing.address, why)
+    else trace.noteEnded(closing, outcome, why)
     if (!stopped) reconnectTimer = setTimeout(connect, RECONNECT_PAUSE_MS)
   }
 
@@ -73,12 +85,27 @@
     const channelOptions = peerTransport.CHANNEL_OPTIONS
     const client = new protocol.workflow.WorkflowClient(address, credentials, channelOptions)
     const call = client.attach()
-    const opened: Open = { address, client, call, heardMs: nowMs(), attached: false }
+    const startedMs = nowMs()
+    const opened: Open = {
+      address,
+      client,
+      call,
+      startedMs,
+      stage: 'connecting',
+      heardMs: startedMs,
+      attached: false,
+    }
     open = opened
+    client.waitForReady(Date.now() + SILENCE_MS, (error) => {
+      if (error === undefined && opened.stage === 'connecting') opened.stage = 'connected'
+    })
+    call.on('metadata', () => {
+      opened.stage = 'waiting for orders'
+    })
     call.on('data', (orders: protocol.workflow.WorkerOrders) => {
       if (open !== opened) return
       if (!orders.leading) {
-        close(opened, 'it does not lead', false)
+        close(opened, 'redirected', 'it does not lead')
         book.learn(orders.hint)
         return
       }
@@ -86,23 +113,24 @@
       if (!opened.attached) {
         opened.attached = true
         book.confirm(address)
-        logger.info('attached to the leader', { address, fence: orders.fence })
+        trace.noteAttached(opened, orders.fence)
       }
       book.learn(orders.hint)
       options.onOrders(orders)
     })
     call.on('end', () => {
-      close(opened, 'the stream ended', false)
+      close(opened, 'failed', 'the stream ended')
     })
     call.on('error', (error) => {
-      close(opened, error.message, true)
+      close(opened, 'failed', error.message, true)
     })
     options.onOpen()
   }
 
   const check = (): void => {
+    trace.check()
     if (open === undefined || nowMs() - open.heardMs < SILENCE_MS) return
-    close(open, 'silent', true)
+    close(open, 'silent', 'silent')
   }
 
   return {
@@ -112,7 +140,7 @@
       return true
     },
     restart: (why) => {
-      if (open !== undefined) close(open, why, false)
+      if (open !== undefined) close(open, 'failed', why)
     },
     isAttached: () => open?.attached ?? false,
     start: () => {
@@ -124,7 +152,7 @@
       stopped = true
       clearTimeout(reconnectTimer)
       clearInterval(checkTimer)
-      if (open !== undefined) close(open, 'stopping', false)
+      if (open !== undefined) close(open, 'superseded', 'stopping')
     },
   }
 }
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -4,6 +4,7 @@
 import type * as telemetry from '@ebonyweir/telemetry/logger'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import type * as attachTraces from './attachTrace.js'
 import * as leaderStreams from './leaderStream.js'
 import type * as runners from './runner.js'
 import * as runTables from './runTable.js'
@@ -39,6 +40,8 @@
   readonly seeds: () => readonly string[]
   readonly runner: runners.Runner
   readonly logger: telemetry.Logger
+  /** Metrics of the attempts to attach. @default none */
+  readonly attachMetrics?: attachTraces.AttachMetrics
   /** Monotonic clock in milliseconds. @default performance.now */
   readonly nowMs?: () => number
 }
@@ -152,6 +155,7 @@
     seeds: options.seeds,
     logger,
     nowMs,
+    metrics: options.attachMetrics,
     onOrders,
     onOpen: () => {
       for (const entry of rejections) entry.sentSequence = 0
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -66,6 +66,8 @@
     close()
   }
 
+  // Tells the agent that the stream was accepted before the first report is handled.
+  call.sendMetadata(new grpc.Metadata())
   call.on('data', (report: protocol.workflow.WorkerReport) => {
     const term = parts.term()
     // The lease may be void for a moment; the agent repeats what was not answered.
