feat(workflow-control): log and count ends without a holder, slow commits of ends, acknowledged numbers

Logic is unchanged. termHarness keeps the log lines and can hold proposals until a test commits or fails them.

--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -47,15 +47,35 @@
   }
 }
 
+/** Log line of the leader. */
+export interface LogLine extends telemetry.LogFields {
+  readonly message: string
+}
+
+/** Proposal that waits until the test commits or fails it. */
+export interface HeldCommit {
+  readonly body: context.CommandBody | undefined
+  readonly commit: () => void
+  /** The replica refuses the proposal and goes on leading. */
+  readonly fail: () => void
+}
+
 /** Leader's term over a state machine that commits at once, with time that the test advances. */
 export const createTermHarness = () => {
   vitest.vi.useFakeTimers()
   const state = workflowState.createWorkflowState()
-  const logger = telemetry.createSilentLogger()
+  const logs: LogLine[] = []
+  const log = (message: string, fields: telemetry.LogFields = {}): void => {
+    logs.push({ ...fields, message })
+  }
+  const logger: telemetry.Logger = { debug: log, info: log, warn: log, error: log }
   const control = {
     leading: true,
     commits: true,
+    /** Proposals are added to `held`. */
+    holds: false,
   }
+  const held: HeldCommit[] = []
   const nowMs = (): number => performance.now()
   const ctx: context.ControlContext = {
     options: {
@@ -78,7 +98,19 @@
     propose: (body) => {
       if (!control.commits)
         return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
-      return Promise.resolve(results.Ok(state.apply({ nowMs: Date.now(), body })))
+      const apply = () => results.Ok(state.apply({ nowMs: Date.now(), body }))
+      if (!control.holds) return Promise.resolve(apply())
+      return new Promise((resolve) => {
+        held.push({
+          body,
+          commit: () => {
+            resolve(apply())
+          },
+          fail: () => {
+            resolve(results.Err({ kind: 'overloaded', detail: 'refused by the test' }))
+          },
+        })
+      })
     },
     hint: () => ({ leader: '', members: [] }),
   }
@@ -156,6 +188,8 @@
     state,
     view: state.view,
     control,
+    held,
+    logs,
     term,
     attach,
     submit: (
--- /dev/null
+++ b/packages/workflow-control/src/endMonitor.ts
@@ -0,0 +1,133 @@
+/** What the leader logs and counts of the ends of runs. */
+import * as protocol from '@ebonyweir/protocol'
+import type * as telemetry from '@ebonyweir/telemetry/logger'
+import * as workflowState from '@ebonyweir/workflow-state'
+import * as runLabels from './runLabels.js'
+
+/** Wait of an acknowledgement for its commit that is logged, in milliseconds; a commit takes a few syncs of the disk. */
+const SLOW_COMMIT_MS = 1_000
+
+type RunEnd = protocol.workflow.RunEnd
+type EndKind = protocol.workflow.EndKind
+type WorkerIdentity = protocol.workflow.WorkerIdentity
+
+/** Ends since the process started. */
+export interface EndCounts {
+  /** Ends whose commit succeeded, by kind. */
+  readonly committed: Readonly<Record<EndKind, number>>
+  /** Ends of a run that the worker that lists them does not hold. */
+  readonly withoutHolder: number
+}
+
+export interface EndCounter extends EndCounts {
+  readonly countCommitted: (ends: readonly RunEnd[]) => void
+  readonly countWithoutHolder: (count: number) => void
+}
+
+export const createEndCounter = (): EndCounter => {
+  const kinds = Object.values(protocol.workflow.EndKind)
+  const committed = Object.fromEntries(kinds.map((kind) => [kind, 0])) as Record<EndKind, number>
+  let withoutHolder = 0
+  return {
+    committed,
+    get withoutHolder() {
+      return withoutHolder
+    },
+    countCommitted: (ends) => {
+      for (const { kind } of ends) committed[kind] += 1
+    },
+    countWithoutHolder: (count) => {
+      withoutHolder += count
+    },
+  }
+}
+
+export interface EndMonitorOptions {
+  readonly logger: telemetry.Logger
+  readonly view: workflowState.WorkflowView
+  readonly counter: EndCounter
+  readonly nowMs: () => number
+}
+
+export interface EndMonitor {
+  /** `acknowledgedEnd` is the number up to which ends are acknowledged to the worker that listed them. */
+  readonly noteCommitted: (
+    worker: WorkerIdentity,
+    ends: readonly RunEnd[],
+    acknowledgedEnd?: number,
+  ) => void
+  readonly noteWithoutHolder: (worker: WorkerIdentity, ends: readonly RunEnd[]) => void
+  /** An acknowledgement up to `lastEnd` waits for a commit; call the result when that is over. */
+  readonly noteWait: (worker: WorkerIdentity, lastEnd: number) => () => void
+  /** Logs the waits that have become long, once each. */
+  readonly sweep: () => void
+}
+
+interface Wait {
+  readonly worker: string
+  readonly lastEnd: number
+  readonly sinceMs: number
+  isLogged: boolean
+}
+
+export const createEndMonitor = (options: EndMonitorOptions): EndMonitor => {
+  const { logger, view, counter, nowMs } = options
+  const waits = new Set<Wait>()
+
+  const describeTask = (run: protocol.workflow.TaskRun): string => {
+    const step = view.jobs.get(run.job)?.occurrences.get(run.occurrence)?.steps[run.step]
+    const task = step?.tasks[run.index]
+    if (task === undefined) return 'task unknown'
+    const holder = task.worker === undefined ? '' : ` at ${workflowState.workerKey(task.worker)}`
+    return `task ${task.phase} #${task.run}${holder}`
+  }
+
+  return {
+    noteCommitted: (worker, ends, acknowledgedEnd) => {
+      counter.countCommitted(ends)
+      logger.info('runs ended', {
+        worker: worker.id,
+        count: ends.length,
+        acknowledgedEnd,
+        ends: ends.slice(0, runLabels.MAX_LOGGED_RUNS).map(({ run, kind }) => {
+          return `${run ? workflowState.runKey(run) : ''} ${kind}`
+        }),
+      })
+    },
+    noteWithoutHolder: (worker, ends) => {
+      if (ends.length === 0) return
+      counter.countWithoutHolder(ends.length)
+      logger.info('ends without a holder', {
+        worker: worker.id,
+        bornMs: worker.bornMs,
+        count: ends.length,
+        ends: ends.slice(0, runLabels.MAX_LOGGED_RUNS).map(({ run, kind }) => {
+          return run ? `${workflowState.runKey(run)} ${kind}, ${describeTask(run)}` : kind
+        }),
+      })
+    },
+    noteWait: ({ id }, lastEnd) => {
+      const wait: Wait = { worker: id, lastEnd, sinceMs: nowMs(), isLogged: false }
+      waits.add(wait)
+      return () => {
+        waits.delete(wait)
+        if (!wait.isLogged) return
+        const waitedMs = Math.round(nowMs() - wait.sinceMs)
+        logger.info('slow commit of ends is over', { worker: id, lastEnd, waitedMs })
+      }
+    },
+    sweep: () => {
+      const now = nowMs()
+      for (const wait of waits) {
+        const waitedMs = now - wait.sinceMs
+        if (wait.isLogged || waitedMs < SLOW_COMMIT_MS) continue
+        wait.isLogged = true
+        logger.warn('acknowledgement of ends waits for a commit', {
+          worker: wait.worker,
+          lastEnd: wait.lastEnd,
+          waitedMs: Math.round(waitedMs),
+        })
+      }
+    },
+  }
+}
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -7,6 +7,7 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as assignmentRounds from './assignmentRounds.js'
 import type * as context from './context.js'
+import * as endMonitors from './endMonitor.js'
 import * as fillerPacing from './fillerPacing.js'
 import * as fillerRanks from './fillerRanks.js'
 import * as proposalBatch from './proposalBatch.js'
@@ -57,7 +58,11 @@
   readonly ends: protocol.workflow.RunEnd[]
 }
 
-export const createLeaderTerm = (ctx: context.ControlContext, term: number): LeaderTerm => {
+export const createLeaderTerm = (
+  ctx: context.ControlContext,
+  term: number,
+  endCounter = endMonitors.createEndCounter(),
+): LeaderTerm => {
   const { logger, timing } = ctx.options
   const { view, nowMs } = ctx
   const startedMs = nowMs()
@@ -74,6 +79,7 @@
   const progress = runProgress.createRunProgress(durations)
   const disturbance = scheduling.createDisturbance()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
+  const endMonitor = endMonitors.createEndMonitor({ logger, view, counter: endCounter, nowMs })
 
   const activeRun = (run: TaskRun): workflowState.ActiveRun | undefined => {
     const step = view.jobs.get(run.job)?.occurrences.get(run.occurrence)?.steps[run.step]
@@ -115,6 +121,7 @@
   const recordEnds = async (
     worker: WorkerIdentity,
     ends: readonly protocol.workflow.RunEnd[],
+    acknowledgedEnd?: () => number,
   ): Promise<boolean> => {
     for (const end of ends) noteEnd(worker, end)
     const result = await proposeSoon({ $case: 'ends', value: { worker, ends } })
@@ -122,13 +129,7 @@
       logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
       return false
     }
-    logger.info('runs ended', {
-      worker: worker.id,
-      count: ends.length,
-      ends: ends.slice(0, runLabels.MAX_LOGGED_RUNS).map(({ run, kind }) => {
-        return `${run ? workflowState.runKey(run) : ''} ${kind}`
-      }),
-    })
+    endMonitor.noteCommitted(worker, ends, acknowledgedEnd?.())
     rounds.dispatch()
     return true
   }
@@ -262,20 +263,29 @@
     const last = Math.max(...fresh.map(({ number }) => number))
     /** Ends by the incarnation that holds their runs. */
     const byHolder = new Map<string, HeldEnds>()
+    const withoutHolder: protocol.workflow.RunEnd[] = []
     for (const { end } of fresh) {
       if (end?.run === undefined) continue
       begunJobs.add(end.run.job)
       const active = activeRun(end.run)
       const holder = active && holderOf(session, active)
-      if (holder === undefined) continue
+      if (holder === undefined) {
+        withoutHolder.push(end)
+        continue
+      }
       const checkpoint = end.checkpoint === '' ? checkpointOf(end.run) : end.checkpoint
       const holderKey = workflowState.workerKey(holder)
       const held = byHolder.get(holderKey) ?? { holder, ends: [] }
       held.ends.push({ ...end, checkpoint })
       byHolder.set(holderKey, held)
     }
-    const recorded = [...byHolder.values()].map(({ holder, ends }) => recordEnds(holder, ends))
+    endMonitor.noteWithoutHolder(identity, withoutHolder)
+    const recorded = [...byHolder.values()].map(({ holder, ends }) =>
+      recordEnds(holder, ends, () => session.acknowledgedEnd),
+    )
+    const waitIsOver = endMonitor.noteWait(identity, last)
     void Promise.all(recorded).then((committed) => {
+      waitIsOver()
       if (committed.every(Boolean)) session.acknowledge(key, last)
     })
   }
@@ -394,6 +404,7 @@
   }
 
   const sweep = (): void => {
+    endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
     const now = nowMs()
     for (const [key, load] of view.loads) {
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -37,6 +37,8 @@
   readonly takeEnds: (
     report: protocol.workflow.WorkerReport,
   ) => readonly protocol.workflow.ListedEnd[]
+  /** Number up to which the agent may forget the ends of this incarnation. */
+  readonly acknowledgedEnd: number
   /** Allows the agent to forget the ends up to `number` of the incarnation `key`. */
   readonly acknowledge: (key: string, number: number) => void
   /** Answers a report: acknowledges it and extends the lease. */
@@ -147,6 +149,9 @@
     get running() {
       return running
     },
+    get acknowledgedEnd() {
+      return acknowledgedEnd
+    },
     update,
     takeEnds,
     acknowledge: (ofKey, number) => {
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -8,6 +8,7 @@
 import * as results from 'ts-results-es'
 import * as calls from './calls.js'
 import type * as context from './context.js'
+import * as endMonitors from './endMonitor.js'
 import * as grpcServer from './grpcServer.js'
 import * as housekeeping from './housekeeping.js'
 import * as leaderTerms from './leaderTerm.js'
@@ -53,6 +54,7 @@
   readonly jobs: number
   readonly readySteps: number
   readonly attachedWorkers: number
+  readonly ends: endMonitors.EndCounts
 }
 
 const createStateMachine = (
@@ -71,6 +73,7 @@
   const state = workflowState.createWorkflowState()
   const peers = peerTransport.createTransport()
   const nowMs = (): number => performance.now()
+  const endCounter = endMonitors.createEndCounter()
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   let node: replica.Replica<workflowState.Outcome> | undefined
   let term: leaderTerms.LeaderTerm | undefined
@@ -116,7 +119,7 @@
     }
     if (leading === undefined || term !== undefined) return
     logger.info('leading', { term: leading, jobs: state.view.jobs.size })
-    term = leaderTerms.createLeaderTerm(ctx, leading)
+    term = leaderTerms.createLeaderTerm(ctx, leading, endCounter)
   }
 
   /** A replica that starts on a full disk would end at its first write, again and again. */
@@ -219,6 +222,7 @@
         jobs: state.view.jobs.size,
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
+        ends: endCounter,
       }
     },
   }
