feat(workflow-control): lateness of the loop and counts of the leader's work

Agents gave up a late leader, and neither its log nor its metrics said how late it was or with what. Counters of reports, planning rounds, tasks for which a place was searched and proposals are metrics too.

--- a/packages/workflow-control/__tests__/fillerRanks.spec.ts
+++ b/packages/workflow-control/__tests__/fillerRanks.spec.ts
@@ -4,6 +4,7 @@
 import * as vitest from 'vitest'
 import * as fillerRanks from '../src/fillerRanks.js'
 import * as runProgress from '../src/runProgress.js'
+import * as workMeter from '../src/workMeter.js'
 
 const { describe, expect, it } = vitest
 
@@ -38,6 +39,7 @@
     disturbance: scheduling.createDisturbance(),
     nowMs: () => nowMs,
     percentOf: progress.percentOf,
+    work: workMeter.createWorkMeter(() => nowMs),
     eligibleWorkers: () => [{ description: WORKER, badEnds: 0 }],
   })
   const submit = (id: string, taskCount: number, ageMs = 0): workflowState.StepView => {
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -6,6 +6,7 @@
 import type * as context from '../src/context.js'
 import * as leaderTerm from '../src/leaderTerm.js'
 import * as timing from '../src/timing.js'
+import * as workMeter from '../src/workMeter.js'
 import type * as workerSession from '../src/workerSession.js'
 
 export const LEASE_MS = 6_000
@@ -80,6 +81,7 @@
         return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
       return Promise.resolve(results.Ok(state.apply({ nowMs: Date.now(), body })))
     },
+    work: workMeter.createWorkMeter(nowMs),
     hint: () => ({ leader: '', members: [] }),
   }
   const term = leaderTerm.createLeaderTerm(ctx, 7)
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -48,17 +48,21 @@
 
   const planRound = async (): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
-    const plan = scheduling.planAssignments({
-      view,
-      workers: options.eligibleWorkers(),
-      expected,
-      nowMs: Date.now(),
-      maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
-      disturbance,
-      fillerRank: options.fillerRank,
-      waitedMs,
-      avoids: options.avoids,
-    })
+    const plan = ctx.work.measure('plan', () =>
+      scheduling.planAssignments({
+        view,
+        workers: options.eligibleWorkers(),
+        expected,
+        nowMs: Date.now(),
+        maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
+        disturbance,
+        fillerRank: options.fillerRank,
+        waitedMs,
+        avoids: options.avoids,
+      }),
+    )
+    ctx.work.count('rounds')
+    ctx.work.count('tasksLookedAt', plan.tasksLookedAt)
     if (plan.assignments.length === 0) return
     const result = await ctx.propose({ $case: 'assign', value: plan })
     if (result.isErr() || result.value.kind !== 'assigned') return
--- a/packages/workflow-control/src/context.ts
+++ b/packages/workflow-control/src/context.ts
@@ -4,6 +4,7 @@
 import type * as workflowState from '@ebonyweir/workflow-state'
 import type * as results from 'ts-results-es'
 import type * as options from './options.js'
+import type * as workMeter from './workMeter.js'
 
 export type CommandBody = NonNullable<protocol.workflow.WorkflowCommand['body']>
 
@@ -19,5 +20,6 @@
   readonly leadingTerm: () => number | undefined
   /** Commits a command; one without a body only proves that everything before it is applied. */
   readonly propose: (body: CommandBody | undefined) => Proposed
+  readonly work: workMeter.WorkMeter
   readonly hint: () => protocol.workflow.LeaderHint
 }
--- a/packages/workflow-control/src/fillerRanks.ts
+++ b/packages/workflow-control/src/fillerRanks.ts
@@ -2,6 +2,7 @@
 import type * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import type * as workMeter from './workMeter.js'
 
 /** Age above which ranks are worked out again, in milliseconds: about half the interval of the workers' lists. */
 const MAX_AGE_MS = 250
@@ -16,6 +17,7 @@
   readonly nowMs: () => number
   /** Progress of a task in percent: of its run, or of its checkpoint while it waits. */
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
+  readonly work: Pick<workMeter.WorkMeter, 'measure'>
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
 }
 
@@ -113,7 +115,7 @@
   return {
     rankOf: (step) => {
       const key = occurrenceKey(step)
-      if (!ranks.has(key) || nowMs() - rankedMs > MAX_AGE_MS) rank()
+      if (!ranks.has(key) || nowMs() - rankedMs > MAX_AGE_MS) options.work.measure('rank', rank)
       return ranks.get(key) ?? Number.MAX_SAFE_INTEGER
     },
   }
--- a/packages/workflow-control/src/index.ts
+++ b/packages/workflow-control/src/index.ts
@@ -2,3 +2,4 @@
 export * from './options.js'
 export * from './timing.js'
 export * from './workflowControl.js'
+export * from './workMeter.js'
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -314,7 +314,7 @@
     if (ends.length > 0) void recordEnds(identity, ends)
   }
 
-  const handleReport: LeaderTerm['handleReport'] = (session, report) => {
+  const takeReport: LeaderTerm['handleReport'] = (session, report) => {
     const before = session.identity
     const listed = session.update(report)
     const { identity } = session
@@ -342,6 +342,13 @@
     }
   }
 
+  const handleReport: LeaderTerm['handleReport'] = (session, report) => {
+    ctx.work.count('reports')
+    ctx.work.measure('report', () => {
+      takeReport(session, report)
+    })
+  }
+
   const sessionOf = (key: string): sessions.WorkerSession | undefined => {
     for (const session of byAgent.values()) if (session.key === key) return session
     return undefined
@@ -441,6 +448,7 @@
     disturbance,
     nowMs,
     percentOf: progress.percentOf,
+    work: ctx.work,
     eligibleWorkers,
   })
 
@@ -472,7 +480,9 @@
     start: sendStarts,
   })
 
-  const sweepTimer = setInterval(sweep, SWEEP_INTERVAL_MS)
+  const sweepTimer = setInterval(() => {
+    ctx.work.measure('sweep', sweep)
+  }, SWEEP_INTERVAL_MS)
 
   return {
     term,
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -11,9 +11,11 @@
 import * as grpcServer from './grpcServer.js'
 import * as housekeeping from './housekeeping.js'
 import * as leaderTerms from './leaderTerm.js'
+import * as loopWatch from './loopWatch.js'
 import * as membership from './membership.js'
 import type * as options from './options.js'
 import * as suspension from './suspension.js'
+import * as workMeter from './workMeter.js'
 
 /** Interval at which leadership and due occurrences are looked at, in milliseconds. */
 const TICK_MS = 50
@@ -44,6 +46,8 @@
   readonly stop: () => Promise<void>
   /** Figures for the metrics of the process. */
   readonly figures: () => ControlFigures
+  /** Largest lateness of the loop since the last call, in milliseconds. */
+  readonly takeMaxLatenessMs: () => number
 }
 
 export interface ControlFigures {
@@ -53,6 +57,8 @@
   readonly jobs: number
   readonly readySteps: number
   readonly attachedWorkers: number
+  /** What the process did since its start. */
+  readonly work: workMeter.WorkTotals
 }
 
 const createStateMachine = (
@@ -72,6 +78,8 @@
   const peers = peerTransport.createTransport()
   const nowMs = (): number => performance.now()
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
+  const work = workMeter.createWorkMeter(nowMs)
+  const watch = loopWatch.createLoopWatch({ nowMs, logger, work })
   let node: replica.Replica<workflowState.Outcome> | undefined
   let term: leaderTerms.LeaderTerm | undefined
   let running: { readonly stop: () => Promise<void> } | undefined
@@ -93,9 +101,12 @@
     },
     propose: async (body) => {
       const command = protocol.workflow.WorkflowCommand.encode({ nowMs: Date.now(), body })
+      work.count('proposals')
       const committed = await own.propose(command.finish())
+      if (committed.isOk()) work.count('commits')
       return committed.map(({ outcome }) => outcome)
     },
+    work,
     hint: () => {
       const { leader, role } = own.leadership()
       const members = own.membersStatus().members.map(({ address }) => address)
@@ -177,6 +188,7 @@
     if (bound.isErr()) return results.Err({ reason: 'listen', detail: bound.error })
     own.start()
     group.start()
+    watch.start()
     let busy = false
     const timer = setInterval(() => {
       followLeadership(ctx)
@@ -189,6 +201,7 @@
     running = {
       stop: async () => {
         clearInterval(timer)
+        watch.stop()
         group.stop()
         term?.stop()
         term = undefined
@@ -219,7 +232,9 @@
         jobs: state.view.jobs.size,
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
+        work: work.totals(),
       }
     },
+    takeMaxLatenessMs: watch.takeMaxLatenessMs,
   }
 }
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -37,6 +37,8 @@
 export interface Plan {
   readonly workers: readonly protocol.workflow.WorkerDescription[]
   readonly assignments: readonly protocol.workflow.Assignment[]
+  /** Waiting tasks for which a place was searched. */
+  readonly tasksLookedAt: number
 }
 
 /** Room on a worker while a plan is made. */
@@ -209,7 +211,7 @@
   rooms: readonly Room[],
   step: workflowState.StepView,
   limit: number,
-): readonly protocol.workflow.Assignment[] => {
+): Pick<Plan, 'assignments' | 'tasksLookedAt'> => {
   const planned: { readonly assignment: protocol.workflow.Assignment; readonly room: Room }[] = []
   const suitable = rooms.filter(
     ({ worker }) => worker.description.service === step.job.queue.service,
@@ -222,10 +224,12 @@
   const { filling } = step.spec
   const rank = filling ? input.fillerRank(step) : 0
   const hasWaited = step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
+  let tasksLookedAt = 0
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
     if (planned.length >= limit && !step.spec.gang) break
     const place = placeOf(step, task)
+    tasksLookedAt += 1
     // One slow task keeps a step going; more of them would only disturb and slow the fillers that are there.
     const minRate = hasWaited && planned.length === 0 ? 0 : MIN_FILLING_RATE
     let best: Room | undefined
@@ -246,9 +250,9 @@
   }
   if (step.spec.gang && planned.length < step.spec.taskCount) {
     for (const { room } of planned) giveBack(room, step)
-    return []
+    return { assignments: [], tasksLookedAt }
   }
-  return planned.map(({ assignment }) => assignment)
+  return { assignments: planned.map(({ assignment }) => assignment), tasksLookedAt }
 }
 
 const giveBack = (room: Room, step: workflowState.StepView): void => {
@@ -265,7 +269,7 @@
 /** Plans assignments for the ready steps, most urgent first. */
 export const planAssignments = (input: PlacementInput): Plan => {
   const { view } = input
-  if (view.readySteps.size === 0) return { workers: [], assignments: [] }
+  if (view.readySteps.size === 0) return { workers: [], assignments: [], tasksLookedAt: 0 }
   const rooms: Room[] = []
   for (const worker of input.workers) {
     const { identity, failureDomain } = worker.description
@@ -285,16 +289,19 @@
       return order.compareUrgency(a.urgency, b.urgency)
     })
   const assignments: protocol.workflow.Assignment[] = []
+  let tasksLookedAt = 0
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
-    assignments.push(...planStep(input, rooms, step, limit))
+    const planned = planStep(input, rooms, step, limit)
+    assignments.push(...planned.assignments)
+    tasksLookedAt += planned.tasksLookedAt
   }
   const used = new Set(assignments.map(({ worker }) => worker && workflowState.workerKey(worker)))
   const workers = rooms
     .filter(({ identity }) => used.has(workflowState.workerKey(identity)))
     .map(({ worker }) => worker.description)
-  return { workers, assignments }
+  return { workers, assignments, tasksLookedAt }
 }
 
 /** Whether one of `workers` is a place where a filler is not left to wait for a better one. */
