--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -324,7 +324,7 @@
     if (ends.length > 0) void recordEnds(identity, ends)
   }
 
-  const handleReport: LeaderTerm['handleReport'] = (session, report) => {
+  const takeReport: LeaderTerm['handleReport'] = (session, report) => {
     const before = session.identity
     const listed = session.update(report)
     const { identity } = session
@@ -352,6 +352,13 @@
     }
   }
 
+  const handleReport: LeaderTerm['handleReport'] = (session, report) => {
+    ctx.work.count('reports')
+    ctx.work.measure('report', () => {
+      takeReport(session, report)
+    })
+  }
+
   const sessionOf = (key: string): sessions.WorkerSession | undefined => {
     for (const session of byAgent.values()) if (session.key === key) return session
     return undefined
@@ -452,6 +459,7 @@
     disturbance,
     nowMs,
     percentOf: progress.percentOf,
+    work: ctx.work,
     eligibleWorkers,
   })
 
@@ -483,7 +491,9 @@
     start: sendStarts,
   })
 
-  const sweepTimer = setInterval(sweep, SWEEP_INTERVAL_MS)
+  const sweepTimer = setInterval(() => {
+    ctx.work.measure('sweep', sweep)
+  }, SWEEP_INTERVAL_MS)
 
   return {
     term,
