fix(workflow-agent): bar a run whose order an earlier agent process may have given

Callers saw a task run twice at the same time when an agent was killed: its successor reported the refusal of the repeated order as certain, the leader assigned the next run elsewhere, and the order of the killed agent was carried out afterwards.

Cause: whether an order had no answer was known to one agent process only. A new one began without doubt and did not bar the run.

The leader now marks each StartOrder that may have been given before (`repeated`): those that repeat orders on a new stream, and those sent when its lease is void, since another leader may have sent them. The agent bars such a run before it rejects it. A first delivery takes the same calls as before.

Ruled out: an order that was sent first and counts as repeated by a race only costs a stop and a list; the reverse needs a report between the apply of an assignment and its start, which are in the same turn of the loop.

--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -19,11 +19,15 @@
 
 /** Table with a worker whose answers are given in advance; the last one is repeated. */
 const createSubject = (options: {
+  /** Whether the order may have been given before. */
+  readonly repeated?: boolean
   readonly answers?: readonly Answer[]
   readonly stops?: readonly runners.OrderAnswer[]
   readonly lists?: readonly ('absent' | 'running' | 'ended')[]
   readonly mayStart?: () => boolean
   readonly leaseUntilMs?: () => number
+  /** Reading of the worker's clock in each list, in milliseconds. */
+  readonly listClockMs?: () => number
 }) => {
   const calls: string[] = []
   const rejections: protocol.workflow.Rejection[] = []
@@ -50,7 +54,7 @@
   }
   const listOf = (kind: 'absent' | 'running' | 'ended'): runners.WorkerList => ({
     bornMs: 1,
-    clockMs: 0,
+    clockMs: options.listClockMs?.() ?? 0,
     running:
       kind === 'running'
         ? [{ run: RUN, checkpoint: '', progressPercent: 0, figure: 0, pacePercent: 100 }]
@@ -81,6 +85,7 @@
     tailTargetMs: 0,
     filling: false,
     pacePercent: 100,
+    repeated: options.repeated ?? false,
   }
   return {
     table,
@@ -89,6 +94,9 @@
     start: () => {
       table.start(order)
     },
+    note: (kind: 'absent' | 'running' | 'ended') => {
+      table.note(listOf(kind))
+    },
     fenced: () => fenced,
   }
 }
@@ -161,6 +169,50 @@
       calls: ['start until 6000'],
       rejected: [RejectionReason.REFUSED],
     },
+    {
+      name: 'is carried out at once when it is a repeated one',
+      options: { repeated: true },
+      calls: ['start until 6000'],
+      rejected: [],
+    },
+    {
+      name: 'guards against a late start of a copy that an agent before gave: the run is barred first',
+      options: { repeated: true, answers: [refused('no-room')] },
+      calls: ['start until 6000', 'stop'],
+      rejected: [RejectionReason.NO_ROOM],
+    },
+    {
+      name: 'guards against a late start at an unhealthy worker',
+      options: {
+        repeated: true,
+        answers: [refused('unavailable')],
+        stops: ['unanswered', 'unanswered', 'done'],
+      },
+      calls: ['start until 6000', 'stop', 'stop', 'stop'],
+      rejected: [RejectionReason.UNAVAILABLE],
+    },
+    {
+      name: 'guards against a late start at a leaving worker',
+      options: { repeated: true, mayStart: () => false },
+      calls: ['stop'],
+      rejected: [RejectionReason.UNAVAILABLE],
+    },
+    {
+      name: 'guards against a late start of an order that the worker cannot read now',
+      options: { repeated: true, answers: [refused('invalid')] },
+      calls: ['start until 6000', 'stop'],
+      rejected: [RejectionReason.REFUSED],
+    },
+    {
+      name: 'guards against a rejection of a run that a copy before has started',
+      options: {
+        repeated: true,
+        answers: [refused('unavailable')],
+        lists: ['running', 'ended'],
+      },
+      calls: ['start until 6000', 'stop'],
+      rejected: [],
+    },
     {
       name: 'is not given while the worker is leaving',
       options: { mayStart: () => false },
@@ -215,7 +267,97 @@
   })
 })
 
+describe('an agent that was killed and starts again', () => {
+  /** Worker that leaves the first order unanswered, and carries it out only when `deliverLate` is called. */
+  const createWorker = () => {
+    let startCalls = 0
+    let isBarred = false
+    const started: string[] = []
+    const runner: runners.Runner = {
+      start: () => {
+        startCalls += 1
+        return Promise.resolve(startCalls === 1 ? unanswered : refused('no-room'))
+      },
+      stop: () => {
+        isBarred = true
+        return Promise.resolve('done')
+      },
+      list: () => Promise.resolve({ kind: 'unanswered' }),
+      pace: () => Promise.resolve('done'),
+    }
+    return {
+      runner,
+      started,
+      startCalls: () => startCalls,
+      deliverLate: () => {
+        if (!isBarred) started.push(workflowState.runKey(RUN))
+      },
+    }
+  }
+
+  it('guards against a rejection of a run that the order of its predecessor starts afterwards', async () => {
+    const worker = createWorker()
+    const rejections: protocol.workflow.Rejection[] = []
+    const createTable = () =>
+      runTables.createRunTable({
+        identity: { id: 'w', bornMs: 1, agent: 'a' },
+        runner: worker.runner,
+        logger: telemetry.createSilentLogger(),
+        fence: () => 3,
+        leaseUntilMs: () => 6_000,
+        mayStart: () => true,
+        nextList: () => Promise.resolve({ bornMs: 1, clockMs: 0, running: [], ended: [] }),
+        onRejected: (rejection) => rejections.push(rejection),
+        onStarted: () => undefined,
+        onFenced: () => undefined,
+      })
+    const order = { ...protocol.workflow.StartOrder.fromPartial({ command: 'x' }), run: RUN }
+    const first = createTable()
+    first.start(order)
+    await vitest.vi.waitUntil(() => worker.startCalls() === 1)
+    first.close()
+    const second = createTable()
+    second.start({ ...order, repeated: true })
+    await vitest.vi.waitUntil(() => rejections.length > 0)
+    second.close()
+    worker.deliverLate()
+    expect(worker.started).toEqual([])
+  })
+
+  it('guards against a run that stays assigned at a worker that answers no stop: its leases bound the wait', async () => {
+    let clockMs = 5_000
+    const subject = createSubject({
+      repeated: true,
+      answers: [refused('unavailable')],
+      stops: ['unanswered'],
+      leaseUntilMs: () => clockMs + 6_000,
+      listClockMs: () => clockMs,
+    })
+    subject.start()
+    await vitest.vi.waitUntil(() => subject.calls.length >= 3)
+    expect(subject.rejections).toEqual([])
+    clockMs = 11_001
+    subject.note('absent')
+    await vitest.vi.waitUntil(() => subject.rejections.length > 0)
+    subject.table.close()
+    expect(subject.rejections.map(({ reason }) => reason)).toEqual([RejectionReason.UNAVAILABLE])
+  })
+})
+
 describe('an order to stop', () => {
+  it('guards against giving up on a run that still runs when its lease has been extended', async () => {
+    const subject = createSubject({
+      stops: ['unanswered'],
+      lists: ['running'],
+      listClockMs: () => 6_001,
+    })
+    subject.table.stop(RUN)
+    subject.note('running')
+    await vitest.vi.waitUntil(() => subject.calls.length >= 4)
+    subject.table.close()
+    expect(subject.rejections).toEqual([])
+  })
+
   it.each([
     {
       name: 'is repeated until it is answered, and waits for the end',
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -67,6 +67,7 @@
   const { identity, runner, logger } = options
   const entries = new Map<string, RunEntry>()
   const stopping = new Set<string>()
+  let latest: runners.WorkerList | undefined
   let closed = false
 
   const reject = (run: TaskRun, reason: protocol.workflow.RejectionReason): void => {
@@ -76,6 +77,10 @@
     logger.info('run rejected', { run: key, reason })
   }
 
+  /** Whether the newest list was made after a moment of the worker's clock and does not show a run as running. */
+  const isAbsentAfter = (clockMs: number, run: TaskRun): boolean =>
+    latest !== undefined && latest.clockMs > clockMs && !holds(latest, run)
+
   /** Waits until the worker no longer runs a run; rejects it unless the worker lists its end. */
   const settle = async (run: TaskRun, reason: protocol.workflow.RejectionReason): Promise<void> => {
     for (;;) {
@@ -90,13 +95,20 @@
     }
   }
 
-  /** Stops a run, or bars it if it is not there yet, and waits until that is certain. */
+  /**
+   * Stops a run, or bars it if it is not there yet, and waits until that is certain. The wait is bounded by the leases of
+   * the orders given before: a worker refuses an order whose lease is over.
+   */
   const withdraw = async (
     run: TaskRun,
     reason: protocol.workflow.RejectionReason,
   ): Promise<void> => {
+    // Leases count from readings of the worker's clock, so that neither this agent nor one before it gave an order with
+    // a longer one. Undefined while no lease is known.
+    let ordersEndMs: number | undefined
     for (;;) {
       if (closed) return
+      ordersEndMs ??= options.leaseUntilMs() || undefined
       const answer = await runner.stop(identity, run, options.fence())
       if (answer === 'done') break
       if (answer === 'fence') {
@@ -104,6 +116,7 @@
         return
       }
       if (answer === 'other-incarnation') return
+      if (ordersEndMs !== undefined && isAbsentAfter(ordersEndMs, run)) break
       await timers.setTimeout(REPEAT_PAUSE_MS)
     }
     await settle(run, reason)
@@ -111,7 +124,8 @@
 
   const runStart = async (entry: RunEntry): Promise<void> => {
     const { order, run } = entry
-    let uncertain = false
+    // A repeated order may have been given by an agent process before this one, with an outcome that only it knew.
+    let uncertain = order.repeated
     const refuse = async (reason: protocol.workflow.RejectionReason): Promise<void> => {
       // An earlier order without an answer may still be carried out.
       if (uncertain) await withdraw(run, reason)
@@ -196,6 +210,7 @@
       })
     },
     note: (list) => {
+      latest = list
       for (const { end } of list.ended) {
         if (end?.run !== undefined) entries.delete(workflowState.runKey(end.run))
       }
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -62,6 +62,30 @@
     expect(harness.task('j.0.0.1')?.phase).toBe('completed')
   })
 
+  it('guards against an order that a killed agent gave and that passes for a new one: it is marked as repeated', async () => {
+    const first = harness.attach('w')
+    first.report()
+    harness.submit('j', [{}])
+    await settle()
+    expect(first.starts()).toEqual(['j.0.0.0#1'])
+    expect(first.repeatedStarts()).toEqual([])
+    const second = harness.attach('w')
+    second.report()
+    expect(second.repeatedStarts()).toEqual(['j.0.0.0#1'])
+  })
+
+  it('guards against an order that another leader may have given and that passes for a new one', async () => {
+    const agent = harness.attach('w')
+    agent.report()
+    harness.submit('j', [{}])
+    harness.control.proposed = () => {
+      harness.control.leading = false
+    }
+    await settle()
+    expect(agent.starts()).toEqual(['j.0.0.0#1'])
+    expect(agent.repeatedStarts()).toEqual(['j.0.0.0#1'])
+  })
+
   it('guards against a rejected run that stays assigned', async () => {
     const agent = harness.attach('w')
     agent.report()
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -16,6 +16,8 @@
   readonly orders: protocol.workflow.WorkerOrders[]
   readonly ended: boolean
   readonly starts: () => readonly string[]
+  /** Starts that were marked as given before. */
+  readonly repeatedStarts: () => readonly string[]
   readonly stops: () => readonly string[]
   /** Reports a list; `running` holds run keys such as "j.0.0.0#1". */
   readonly report: (fields?: ReportFields) => void
@@ -55,6 +57,8 @@
   const control = {
     leading: true,
     commits: true,
+    /** Called after each commit, before its outcome is known to the term. */
+    proposed: (): void => undefined,
   }
   const nowMs = (): number => performance.now()
   const ctx: context.ControlContext = {
@@ -78,7 +82,9 @@
     propose: (body) => {
       if (!control.commits)
         return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
-      return Promise.resolve(results.Ok(state.apply({ nowMs: Date.now(), body })))
+      const outcome = state.apply({ nowMs: Date.now(), body })
+      control.proposed()
+      return Promise.resolve(results.Ok(outcome))
     },
     hint: () => ({ leader: '', members: [] }),
   }
@@ -98,6 +104,8 @@
     const keysOf = (runs: readonly (protocol.workflow.TaskRun | undefined)[]) =>
       runs.flatMap((run) => (run ? [workflowState.runKey(run)] : []))
     const starts = () => keysOf(orders.flatMap((order) => order.starts.map(({ run }) => run)))
+    const repeatedStarts = () =>
+      keysOf(orders.flatMap(({ starts: all }) => all.filter((o) => o.repeated).map((o) => o.run)))
     const stops = () => keysOf(orders.flatMap((order) => order.stops))
     const report: Agent['report'] = (fields = {}) => {
       sequence += 1
@@ -141,6 +149,7 @@
         return ended
       },
       starts,
+      repeatedStarts,
       stops,
       report,
       live: (forMs, fields = {}) => {
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -143,13 +143,17 @@
     return Math.round(Math.min(1, bearable) * FULL_PERCENT)
   }
 
-  const startOrder = (active: workflowState.ActiveRun): protocol.workflow.StartOrder => ({
+  const startOrder = (
+    active: workflowState.ActiveRun,
+    repeated: boolean,
+  ): protocol.workflow.StartOrder => ({
     run: runOf(active),
     command: active.step.job.spec.command,
     checkpoint: active.task.checkpoint,
     tailTargetMs: active.step.spec.tailTargetMs,
     filling: active.step.spec.filling,
     pacePercent: startPace(active),
+    repeated,
   })
 
   /** Repeats the orders that an agent may have missed before it attached. */
@@ -164,7 +168,7 @@
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
       if (active.step.job.phase !== 'active' || (!isRunning && !mayStart)) stops.push(run)
-      else starts.push(startOrder(active))
+      else starts.push(startOrder(active, true))
     }
     session.start(starts)
     session.stop(stops)
@@ -426,11 +430,13 @@
 
   const sendStarts = (accepted: readonly protocol.workflow.Assignment[]): void => {
     const byWorker = new Map<string, protocol.workflow.StartOrder[]>()
+    // A leader that came after the commit may have given these orders already.
+    const repeated = ctx.leadingTerm() !== term
     for (const { task, worker } of accepted) {
       const active = task && activeRun(task)
       if (worker === undefined || active?.step.job.phase !== 'active') continue
       const key = workflowState.workerKey(worker)
-      byWorker.set(key, [...(byWorker.get(key) ?? []), startOrder(active)])
+      byWorker.set(key, [...(byWorker.get(key) ?? []), startOrder(active, repeated)])
     }
     for (const [key, orders] of byWorker) sessionOf(key)?.start(orders)
   }
