--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -17,6 +17,8 @@
   readonly orders: protocol.workflow.WorkerOrders[]
   readonly ended: boolean
   readonly starts: () => readonly string[]
+  /** Starts that were marked as given before. */
+  readonly repeatedStarts: () => readonly string[]
   readonly stops: () => readonly string[]
   /** Reports a list; `running` holds run keys such as "j.0.0.0#1". */
   readonly report: (fields?: ReportFields) => void
@@ -75,6 +77,8 @@
     commits: true,
     /** Proposals are added to `held`. */
     holds: false,
+    /** Called after each commit, before its outcome is known to the term. */
+    proposed: (): void => undefined,
   }
   const held: HeldCommit[] = []
   const nowMs = (): number => performance.now()
@@ -99,7 +103,11 @@
     propose: (body) => {
       if (!control.commits)
         return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
-      const apply = () => results.Ok(state.apply({ nowMs: Date.now(), body }))
+      const apply = () => {
+        const outcome = state.apply({ nowMs: Date.now(), body })
+        control.proposed()
+        return results.Ok(outcome)
+      }
       if (!control.holds) return Promise.resolve(apply())
       return new Promise((resolve) => {
         held.push({
@@ -132,6 +140,8 @@
     const keysOf = (runs: readonly (protocol.workflow.TaskRun | undefined)[]) =>
       runs.flatMap((run) => (run ? [workflowState.runKey(run)] : []))
     const starts = () => keysOf(orders.flatMap((order) => order.starts.map(({ run }) => run)))
+    const repeatedStarts = () =>
+      keysOf(orders.flatMap(({ starts: all }) => all.filter((o) => o.repeated).map((o) => o.run)))
     const stops = () => keysOf(orders.flatMap((order) => order.stops))
     const report: Agent['report'] = (fields = {}) => {
       sequence += 1
@@ -175,6 +185,7 @@
         return ended
       },
       starts,
+      repeatedStarts,
       stops,
       report,
       live: (forMs, fields = {}) => {
