fix(workflow-control): acknowledge ends only up to the first that is not settled; try failed commits again

Cause: `handleEnds` acknowledged the highest number of one report once the commits of that report were through. A report whose ends have no holder has none, so its number passed earlier ends whose commit was open or had failed; so did a later commit that was faster. A failed commit was never tried again in a session, since `takenEnd` hid its ends. A new session of the same worker proposed open ends a second time.

Change: `endNumbers` holds the listed numbers of an incarnation for the term and acknowledges the longest prefix whose ends are all settled: recorded, or without effect in the view of a leader whose lease is valid (its state holds all that was committed before it). `endIntake` takes ends whose commit failed again from the next list, learns from each end once, and logs the failure once. A list is complete, so a number that it skips holds no open end.

Evidence: endIntake.spec with proposals that the test commits or fails in its own order.

Ruled out: a view behind the log at the start of a term. `leaseValid` needs everything up to the term's first entry applied, and reports are handled with a valid lease only.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -7,6 +7,7 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as assignmentRounds from './assignmentRounds.js'
 import type * as context from './context.js'
+import * as endIntakes from './endIntake.js'
 import * as endMonitors from './endMonitor.js'
 import * as fillerPacing from './fillerPacing.js'
 import * as fillerRanks from './fillerRanks.js'
@@ -53,11 +54,6 @@
   run: task.run,
 })
 
-interface HeldEnds {
-  readonly holder: WorkerIdentity
-  readonly ends: protocol.workflow.RunEnd[]
-}
-
 export const createLeaderTerm = (
   ctx: context.ControlContext,
   term: number,
@@ -117,21 +113,24 @@
     }
   }
 
-  /** Commits ends of runs that `worker` holds; resolves to whether they are committed. */
+  const commitEnds = async (
+    worker: WorkerIdentity,
+    ends: readonly protocol.workflow.RunEnd[],
+  ): context.Proposed => {
+    const result = await proposeSoon({ $case: 'ends', value: { worker, ends } })
+    if (result.isOk()) rounds.dispatch()
+    return result
+  }
+
+  /** Commits ends of runs that `worker` holds and that no list shows. */
   const recordEnds = async (
     worker: WorkerIdentity,
     ends: readonly protocol.workflow.RunEnd[],
-    acknowledgedEnd?: () => number,
-  ): Promise<boolean> => {
+  ): Promise<void> => {
     for (const end of ends) noteEnd(worker, end)
-    const result = await proposeSoon({ $case: 'ends', value: { worker, ends } })
-    if (result.isErr()) {
-      logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
-      return false
-    }
-    endMonitor.noteCommitted(worker, ends, acknowledgedEnd?.())
-    rounds.dispatch()
-    return true
+    const result = await commitEnds(worker, ends)
+    if (result.isOk()) endMonitor.noteCommitted(worker, ends)
+    else logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
   }
 
   /** A filler starts at the pace that its neighbours are expected to bear. */
@@ -253,41 +252,25 @@
     return holder.bornMs <= reporter.bornMs ? holder : undefined
   }
 
+  const endIntake = endIntakes.createEndIntake({
+    logger,
+    monitor: endMonitor,
+    holderOf: (session, run) => {
+      const active = activeRun(run)
+      return active && holderOf(session, active)
+    },
+    checkpointOf,
+    noteEnd,
+    commit: commitEnds,
+    sessionOf: (agent) => byAgent.get(agent),
+  })
+
   const handleEnds = (
     session: sessions.WorkerSession,
-    report: protocol.workflow.WorkerReport,
+    { ended }: protocol.workflow.WorkerReport,
   ): void => {
-    const fresh = session.takeEnds(report)
-    const { identity, key } = session
-    if (identity === undefined || fresh.length === 0) return
-    const last = Math.max(...fresh.map(({ number }) => number))
-    /** Ends by the incarnation that holds their runs. */
-    const byHolder = new Map<string, HeldEnds>()
-    const withoutHolder: protocol.workflow.RunEnd[] = []
-    for (const { end } of fresh) {
-      if (end?.run === undefined) continue
-      begunJobs.add(end.run.job)
-      const active = activeRun(end.run)
-      const holder = active && holderOf(session, active)
-      if (holder === undefined) {
-        withoutHolder.push(end)
-        continue
-      }
-      const checkpoint = end.checkpoint === '' ? checkpointOf(end.run) : end.checkpoint
-      const holderKey = workflowState.workerKey(holder)
-      const held = byHolder.get(holderKey) ?? { holder, ends: [] }
-      held.ends.push({ ...end, checkpoint })
-      byHolder.set(holderKey, held)
-    }
-    endMonitor.noteWithoutHolder(identity, withoutHolder)
-    const recorded = [...byHolder.values()].map(({ holder, ends }) =>
-      recordEnds(holder, ends, () => session.acknowledgedEnd),
-    )
-    const waitIsOver = endMonitor.noteWait(identity, last)
-    void Promise.all(recorded).then((committed) => {
-      waitIsOver()
-      if (committed.every(Boolean)) session.acknowledge(key, last)
-    })
+    for (const { end } of ended) if (end?.run !== undefined) begunJobs.add(end.run.job)
+    endIntake.handle(session, ended)
   }
 
   const endOfOldIncarnation = (session: sessions.WorkerSession, run: TaskRun): void => {
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -33,12 +33,6 @@
   readonly running: ReadonlyMap<string, protocol.workflow.RunningTask>
   /** Takes a report over; says whether it carries the first list of this identity on this stream, or a new one. */
   readonly update: (report: protocol.workflow.WorkerReport) => 'first' | 'new' | 'same'
-  /** Listed ends that were not taken before. */
-  readonly takeEnds: (
-    report: protocol.workflow.WorkerReport,
-  ) => readonly protocol.workflow.ListedEnd[]
-  /** Number up to which the agent may forget the ends of this incarnation. */
-  readonly acknowledgedEnd: number
   /** Allows the agent to forget the ends up to `number` of the incarnation `key`. */
   readonly acknowledge: (key: string, number: number) => void
   /** Answers a report: acknowledges it and extends the lease. */
@@ -60,7 +54,6 @@
   let sample = 0
   let listedMs: number | undefined
   let running: ReadonlyMap<string, protocol.workflow.RunningTask> = new Map()
-  let takenEnd = 0
   let acknowledgedEnd = 0
   let stoppedMs = new Map<string, number>()
 
@@ -87,7 +80,6 @@
     sample = 0
     listedMs = undefined
     running = new Map()
-    takenEnd = 0
     acknowledgedEnd = 0
     stoppedMs = new Map()
   }
@@ -109,12 +101,6 @@
     return isFirst ? 'first' : 'new'
   }
 
-  const takeEnds: WorkerSession['takeEnds'] = ({ ended }) => {
-    const fresh = ended.filter(({ number }) => number > takenEnd)
-    for (const { number } of fresh) takenEnd = Math.max(takenEnd, number)
-    return fresh
-  }
-
   const stop: WorkerSession['stop'] = (runs) => {
     const now = nowMs()
     const due = runs.filter((run) => {
@@ -149,11 +135,7 @@
     get running() {
       return running
     },
-    get acknowledgedEnd() {
-      return acknowledgedEnd
-    },
     update,
-    takeEnds,
     acknowledge: (ofKey, number) => {
       if (ofKey !== key || number <= acknowledgedEnd) return
       acknowledgedEnd = number
