fix(workflow): a completed end of a run that was recorded as lost completes the waiting task

Cause: recording a run as lost makes its task wait without a holder, and the leader dropped ends without a holder; the state machine ignored them as well when the loss was committed while the end was on its way.

Change: `isLateCompletion` in the state machine: a COMPLETED end of the latest run of a waiting task completes it. The run number shows that no other run was assigned since, also when an assignment is committed first. Gangs, lasting steps, ended jobs, older runs and run 0 have no effect. The leader commits such ends under the identity that lists them and acknowledges them after that. The state does not keep how a run was released, so the rule holds for every kind of release: a worker gives a run number one end, and a COMPLETED one means that the work is done.

Not covered: a task that is assigned again before the end arrives runs again.

--- a/packages/workflow-control/__tests__/endIntake.spec.ts
+++ b/packages/workflow-control/__tests__/endIntake.spec.ts
@@ -177,6 +177,64 @@
   })
 })
 
+describe('ends of runs that were recorded as lost', () => {
+  const lose = async (agent: harnesses.Agent): Promise<void> => {
+    agent.report()
+    await harness.pass(harnesses.LEASE_MS + 1_500)
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'waiting', run: 1 })
+  }
+
+  it('guards against a second run of a task that a worker completed before it was heard again', async () => {
+    const agent = await startTasks(2)
+    harness.control.holds = false
+    await lose(agent)
+    const back = harness.attach('w')
+    harness.control.holds = true
+    back.report({ ended: [completed(1), [2, 'j.0.0.1#1', EndKind.LAPSED]] })
+    await harness.pass(5)
+    expect(acknowledgedBy(back)).toBe(0)
+    harness.control.holds = false
+    for (const { commit } of harness.held) commit()
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'completed', run: 1 })
+    expect(harness.task('j.0.0.1')).toMatchObject({ phase: 'assigned', run: 2 })
+    expect(back.starts()).toEqual(['j.0.0.1#2'])
+    expect(acknowledgedBy(back)).toBe(2)
+  })
+
+  it('guards against a completion that counts after the task was assigned again', async () => {
+    const agent = await startTasks(1)
+    harness.control.holds = false
+    await lose(agent)
+    const other = harness.attach('v')
+    other.report()
+    await settle()
+    expect(other.starts()).toEqual(['j.0.0.0#2'])
+    const back = harness.attach('w')
+    back.report({ ended: [completed(1)] })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'assigned', run: 2 })
+    expect(acknowledgedBy(back)).toBe(1)
+  })
+
+  it('guards against a completion that arrives while the loss of its run is being committed', async () => {
+    const agent = await startTasks(1)
+    agent.report()
+    await harness.pass(harnesses.LEASE_MS + 1_500)
+    expect(harness.held).toHaveLength(1)
+    const back = harness.attach('w')
+    back.report({ ended: [completed(1)] })
+    await harness.pass(5)
+    expect(harness.held).toHaveLength(2)
+    harness.control.holds = false
+    for (const { commit } of harness.held) commit()
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'completed', run: 1 })
+    expect(back.starts()).not.toContain('j.0.0.0#2')
+    expect(acknowledgedBy(back)).toBe(1)
+  })
+})
+
 describe('the prefix rule', () => {
   type Action = readonly ['finish' | 'stranger' | 'list' | 'commit' | 'fail', number]
   const action: fastCheck.Arbitrary<Action> = fastCheck.tuple(
--- a/packages/workflow-control/src/endIntake.ts
+++ b/packages/workflow-control/src/endIntake.ts
@@ -18,8 +18,10 @@
 export interface EndIntakeOptions {
   readonly logger: telemetry.Logger
   readonly monitor: endMonitors.EndMonitor
-  /** Identity under which an end is recorded; undefined when it certainly has no effect. */
+  /** Incarnation that holds a run which `session` says ended; undefined for none. */
   readonly holderOf: (session: sessions.WorkerSession, run: TaskRun) => WorkerIdentity | undefined
+  /** Whether an end without a holder is recorded, under the identity that lists it. */
+  readonly isLateCompletion: (end: RunEnd) => boolean
   /** Newest checkpoint that is known of a run. */
   readonly checkpointOf: (run: TaskRun) => string
   /** Learns from an end, once for each. */
@@ -103,10 +105,17 @@
     const numbers = numbersOf(key)
     const taken = numbers.take(listed.map(({ number }) => number))
     const batches = new Map<string, Batch>()
+    const withoutHolder: RunEnd[] = []
     const withoutEffect: ListedEnd[] = []
     for (const { number, end } of listed.filter((entry) => taken.has(entry.number))) {
-      const holder = end?.run && options.holderOf(session, end.run)
-      if (end?.run === undefined || holder === undefined) {
+      if (end?.run === undefined) {
+        withoutEffect.push({ number, end })
+        continue
+      }
+      const current = options.holderOf(session, end.run)
+      if (current === undefined) withoutHolder.push(end)
+      const holder = current ?? (options.isLateCompletion(end) ? identity : undefined)
+      if (holder === undefined) {
         withoutEffect.push({ number, end })
         continue
       }
@@ -119,9 +128,8 @@
       batch.isNew ||= known === undefined
       batches.set(holderKey, batch)
     }
-    const dropped = withoutEffect.flatMap(({ end }) => end ?? [])
-    drop(key, dropped)
-    monitor.noteWithoutHolder(identity, dropped)
+    monitor.noteWithoutHolder(identity, withoutHolder)
+    for (const { end } of withoutEffect) if (end !== undefined) drop(key, [end])
     numbers.settle(withoutEffect.map(({ number }) => number))
     for (const batch of batches.values()) void record(identity, batch)
     session.acknowledge(key, numbers.acknowledged)
--- a/packages/workflow-state/__tests__/workflowState.spec.ts
+++ b/packages/workflow-state/__tests__/workflowState.spec.ts
@@ -204,6 +204,112 @@
   })
 })
 
+describe('a completed end of a run that was recorded as lost', () => {
+  const cases: readonly {
+    readonly name: string
+    readonly spec: Partial<protocol.workflow.Step>
+    readonly before?: (subject: ReturnType<typeof support.createSubject>) => void
+    readonly run?: number
+    readonly kind?: protocol.workflow.EndKind
+    readonly phase: workflowState.TaskPhase
+    readonly job: string
+  }[] = [
+    {
+      name: 'guards against a second run of a task that is done',
+      spec: {},
+      phase: 'completed',
+      job: 'completed',
+    },
+    {
+      name: 'has no effect when it is no completion',
+      spec: {},
+      kind: EndKind.LAPSED,
+      phase: 'waiting',
+      job: 'active',
+    },
+    {
+      name: 'guards against an end without a run number that completes a task which never ran',
+      spec: { taskCount: 2 },
+      run: 0,
+      phase: 'waiting',
+      job: 'active',
+    },
+    {
+      name: 'guards against an older run',
+      spec: {},
+      before: (subject) => {
+        subject.assign(worker('v'), 'j.0.0.0')
+        subject.end(worker('v'), 'j.0.0.0#2', EndKind.LOST)
+      },
+      phase: 'waiting',
+      job: 'active',
+    },
+    {
+      name: 'has no effect once the task is assigned again',
+      spec: {},
+      before: (subject) => {
+        subject.assign(worker('v'), 'j.0.0.0')
+      },
+      phase: 'assigned',
+      job: 'active',
+    },
+    {
+      name: 'guards against a job that ended before',
+      spec: {},
+      before: (subject) => {
+        subject.apply({ $case: 'cancel', value: { job: 'j' } })
+      },
+      phase: 'waiting',
+      job: 'cancelled',
+    },
+    {
+      name: 'guards against a lasting task that counts as done',
+      spec: { lasting: true },
+      phase: 'waiting',
+      job: 'active',
+    },
+    {
+      name: 'guards against a gang of which one member counts as done',
+      spec: { gang: true },
+      phase: 'waiting',
+      job: 'active',
+    },
+  ]
+
+  it.each(cases)('$name', ({ spec, before, run = 1, kind = EndKind.COMPLETED, ...expected }) => {
+    const subject = support.createSubject()
+    subject.submit(job('j', [step(spec)]))
+    subject.assign(worker('w'), 'j.0.0.0')
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.LOST)
+    before?.(subject)
+    const task = run === 0 ? 'j.0.0.1' : 'j.0.0.0'
+    const name = `${task}#${run}`
+    const isRecorded = expected.phase === 'completed'
+    const outcome = subject.end(worker('w'), name, kind)
+    expect(outcome).toEqual({ kind: 'ended', ignored: isRecorded ? 0 : 1 })
+    expect(subject.task(task)?.phase).toBe(expected.phase)
+    expect(subject.phase('j')).toBe(expected.job)
+    expect(subject.end(worker('w'), name, kind)).toEqual({ kind: 'ended', ignored: 1 })
+  })
+
+  it('guards against a follower that waits for it, and against counts that differ after a restart', () => {
+    const subject = support.createSubject()
+    subject.submit(job('j', [step({ taskCount: 2 }), step({ after: [0] })]))
+    subject.assign(worker('w'), 'j.0.0.0', 'j.0.0.1')
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.LOST)
+    subject.end(worker('w'), 'j.0.0.0#1')
+    subject.end(worker('w'), 'j.0.0.1#1')
+    expect(subject.view.loads.size).toBe(0)
+    const restored = support.createSubject()
+    restored.state.restore(subject.state.snapshot())
+    for (const copy of [subject, restored]) {
+      const before = copy.view.jobs.get('j')?.occurrences.get(0)?.steps[0]
+      expect(before).toMatchObject({ waitingCount: 0, assignedCount: 0, completedCount: 2 })
+      expect(copy.assign(worker('w'), 'j.0.0.0', 'j.0.1.0')).toEqual(['j.0.1.0#1'])
+    }
+  })
+})
+
 describe('jobs and configuration', () => {
   it('guards against a second job for a repeated submission', () => {
     const subject = support.createSubject()
--- a/packages/workflow-state/src/ends.ts
+++ b/packages/workflow-state/src/ends.ts
@@ -76,16 +76,54 @@
   workflowState.endJob(context, job, 'failed', nowMs)
 }
 
+/**
+ * Whether an end completes a task that waits for its next run: its latest run was released, for example as lost, before
+ * the worker could report that it completed. The run number tells that no other run was assigned since. A gang ends as
+ * a whole, and a lasting task has no end of its own, so neither is completed in this way.
+ */
+export const isLateCompletion = (
+  jobs: types.WorkflowView['jobs'],
+  { run, kind }: protocol.workflow.RunEnd,
+): boolean => {
+  if (run === undefined || kind !== EndKind.COMPLETED) return false
+  const job = jobs.get(run.job)
+  const step = job?.occurrences.get(run.occurrence)?.steps[run.step]
+  if (job?.phase !== 'active' || step === undefined) return false
+  if (step.spec.gang || step.spec.lasting) return false
+  const task = step.tasks[run.index]
+  // A task that never ran waits with run 0.
+  return task?.phase === 'waiting' && task.run > 0 && task.run === run.run
+}
+
+const completeWaiting = (
+  context: workflowState.StateContext,
+  step: records.StepRecord,
+  task: records.TaskRecord,
+  nowMs: number,
+): void => {
+  task.phase = 'completed'
+  step.waitingCount -= 1
+  step.completedCount += 1
+  workflowState.refreshReadiness(context, step)
+  if (step.completedCount === step.spec.taskCount) completeStep(context, step, nowMs)
+}
+
 const recordEnd = (
   context: workflowState.StateContext,
   worker: protocol.workflow.WorkerIdentity,
-  { run, kind, checkpoint }: protocol.workflow.RunEnd,
+  end: protocol.workflow.RunEnd,
   nowMs: number,
 ): boolean => {
+  const { run, kind, checkpoint } = end
   if (run === undefined) return false
   const step = context.jobs.get(run.job)?.occurrences.get(run.occurrence)?.steps[run.step]
   const task = step?.tasks[run.index]
-  if (step === undefined || task?.phase !== 'assigned' || task.run !== run.run) return false
+  if (step === undefined || task === undefined) return false
+  if (isLateCompletion(context.jobs, end)) {
+    completeWaiting(context, step, task, nowMs)
+    return true
+  }
+  if (task.phase !== 'assigned' || task.run !== run.run) return false
   if (task.worker === undefined) return false
   if (keys.workerKey(task.worker) !== keys.workerKey(worker)) return false
   if (checkpoint !== '') {
@@ -97,7 +135,10 @@
   return true
 }
 
-/** Records ends of current runs; an end of an older run or of another worker has no effect. */
+/**
+ * Records ends of current runs, and late completions of the latest one; an end of an older run or of another worker has
+ * no effect.
+ */
 export const recordEnds = (
   context: workflowState.StateContext,
   { worker, ends }: protocol.workflow.RecordEnds,
