fix(workflow-control): rank no job that has ended

The leader was late while cancelled jobs still had runs. rankOf ranked all jobs anew at each call for a job without a rank, and a job that has ended never gets one, so each look at one of its fillers paid for a whole ranking. Only an active job's absence now asks for a new ranking; an ended one has the last rank as before. Other jobs' ranks may now be up to 250 ms old in these calls too, as in all others.

--- a/packages/workflow-control/__tests__/fillerRanks.spec.ts
+++ b/packages/workflow-control/__tests__/fillerRanks.spec.ts
@@ -33,6 +33,7 @@
   const progress = runProgress.createRunProgress(expected)
   const submittedMs = Date.now()
   let nowMs = 0
+  let rankings = 0
   const ranks = fillerRanks.createFillerRanks({
     view: state.view,
     expected,
@@ -40,7 +41,10 @@
     nowMs: () => nowMs,
     percentOf: progress.percentOf,
     work: workMeter.createWorkMeter(() => nowMs),
-    eligibleWorkers: () => [{ description: WORKER, badEnds: 0 }],
+    eligibleWorkers: () => {
+      rankings += 1
+      return [{ description: WORKER, badEnds: 0 }]
+    },
   })
   const submit = (id: string, taskCount: number, ageMs = 0): workflowState.StepView => {
     const steps = [
@@ -73,6 +77,10 @@
     ranks,
     submit,
     stopAt,
+    cancel: (job: string) => {
+      state.apply({ nowMs: submittedMs, body: { $case: 'cancel', value: { job } } })
+    },
+    rankings: () => rankings,
     pass: (elapsedMs: number) => {
       nowMs += elapsedMs
     },
@@ -97,6 +105,18 @@
     expect(ranks.rankOf(begun)).toBeLessThan(ranks.rankOf(fresh))
   })
 
+  it('guards against a new ranking at each look at a job that was cancelled', () => {
+    const { ranks, submit, cancel, rankings } = createCell()
+    const cancelled = submit('cancelled', 4)
+    const other = submit('other', 4)
+    cancel('cancelled')
+    for (let look = 0; look < 100; look += 1) {
+      expect(ranks.rankOf(other)).toBe(0)
+      expect(ranks.rankOf(cancelled)).toBeGreaterThan(0)
+    }
+    expect(rankings()).toBe(1)
+  })
+
   it('ranks a job at once that came after the last ranking', () => {
     const { ranks, submit } = createCell()
     expect(ranks.rankOf(submit('first', 2))).toBe(0)
--- a/packages/workflow-control/src/fillerRanks.ts
+++ b/packages/workflow-control/src/fillerRanks.ts
@@ -115,7 +115,9 @@
   return {
     rankOf: (step) => {
       const key = occurrenceKey(step)
-      if (!ranks.has(key) || nowMs() - rankedMs > MAX_AGE_MS) options.work.measure('rank', rank)
+      // A job that has ended does not compete, so a new ranking would not hold it either.
+      const isMissing = !ranks.has(key) && step.job.phase === 'active'
+      if (isMissing || nowMs() - rankedMs > MAX_AGE_MS) options.work.measure('rank', rank)
       return ranks.get(key) ?? Number.MAX_SAFE_INTEGER
     },
   }
