fix(workflow-agent): a late leader is not given up while it is being attached to

Callers saw tasks started twice: agents needed 4 to 8.5 s to find a late leader again, and it counted their workers as lost after 6.8 s.

Cause: the silence of 1.2 s counted from the creation of the client, so it included the connection and the leader's first answer. A leader that needs longer was given up each time, after which the agent started over on a new connection, which costs the leader more than the answer would have.

After 0.8 s without an answer the next address is tried while the first attempt stays open, and the first that answers as the leader is used. A stream that goes silent stays open as well and is used again when the leader answers; a new connection to its address is opened when another replica still names it, or 0.8 s later. Each replica gets one report per new stream, and a newer report follows once it answers, so a late leader does not find a queue of old lists. Every wait has a bound.

Ruled out: a longer silence alone, since a silent leader would then be left too late for the 6.8 s.

--- /dev/null
+++ b/packages/workflow-agent/__tests__/leaderStream.spec.ts
@@ -0,0 +1,155 @@
+import * as timers from 'node:timers/promises'
+import * as protocol from '@ebonyweir/protocol'
+import * as telemetry from '@ebonyweir/telemetry/logger'
+import * as vitest from 'vitest'
+import * as leaderStreams from '../src/leaderStream.js'
+import * as replicas from './replicas.js'
+
+const { afterEach, describe, expect, it } = vitest
+
+/** A worker counts as lost after 6.8 s without a list; half of it is left for the list and its commit. */
+const ATTACH_BOUND_MS = 3_500
+
+/** An election takes up to 2 s, and an agent that then attaches soon leaves most of the 6.8 s for a second fault. */
+const LEAVE_BOUND_MS = 2_500
+
+/** Election timeout of a replica, its longest value. */
+const ELECTION_MS = 1_000
+
+/** Stall of a leader's loop, longer than the silence after which a stream is not trusted. */
+const STALL_MS = 2_000
+
+const POLL_MS = 10
+
+const REPORT: Omit<protocol.workflow.WorkerReport, 'sequence'> = {
+  cell: 'c',
+  agent: 'a',
+  worker: undefined,
+  draining: false,
+  drainRemainingMs: 0,
+  clockMs: 0,
+  sample: 0,
+  running: [],
+  ended: [],
+  rejected: [],
+}
+
+const REPORT_INTERVAL_MS = 200
+
+const started: { readonly stop: () => unknown }[] = []
+
+const startReplica = async (behaviour?: Partial<replicas.Behaviour>): Promise<replicas.Replica> => {
+  const replica = await replicas.startReplica(behaviour)
+  started.push(replica)
+  return replica
+}
+
+/** Stream of an agent that reports as the product does: at once on a new stream, then at intervals. */
+const startAgent = (...seeds: readonly replicas.Replica[]) => {
+  const fences: number[] = []
+  let sequence = 0
+  const report = (): void => {
+    sequence += 1
+    stream.send({ ...REPORT, sequence })
+  }
+  const stream = leaderStreams.createLeaderStream({
+    seeds: () => seeds.map(({ address }) => address),
+    logger: telemetry.createSilentLogger(),
+    nowMs: () => performance.now(),
+    onOrders: ({ fence }) => fences.push(fence),
+    onReportDue: report,
+  })
+  const timer = setInterval(report, REPORT_INTERVAL_MS)
+  started.push({
+    stop: () => {
+      clearInterval(timer)
+      stream.stop()
+    },
+  })
+  stream.start()
+  /** Time until `condition` holds, in milliseconds; infinite if it does not in `boundMs`. */
+  const timeUntil = async (condition: () => boolean, boundMs: number): Promise<number> => {
+    const startMs = performance.now()
+    while (performance.now() - startMs < boundMs) {
+      if (condition()) return performance.now() - startMs
+      await timers.setTimeout(POLL_MS)
+    }
+    return Number.POSITIVE_INFINITY
+  }
+  return { stream, fences, timeUntil, timeToAttach: () => timeUntil(stream.isAttached, 10_000) }
+}
+
+afterEach(async () => {
+  for (const { stop } of started.splice(0).reverse()) await stop()
+})
+
+describe('stream to the leader', () => {
+  const late: readonly { readonly name: string; readonly leader: Partial<replicas.Behaviour> }[] = [
+    { name: 'answers the first report after 2 s', leader: { firstAnswerMs: 2_000 } },
+    { name: 'is blocked for 0.35 s of each 0.4 s', leader: { blockedMs: 350 } },
+    {
+      name: 'is blocked for 0.7 s in each turn of its loop',
+      leader: { blockedMs: 700, freeMs: 0 },
+    },
+  ]
+
+  it.each(late)(
+    'guards against starting over again and again at a leader that $name',
+    async ({ leader }) => {
+      const late = await startReplica(leader)
+      const follower = await startReplica({ leading: false, leader: late.address })
+      const { timeToAttach } = startAgent(late, follower)
+      expect(await timeToAttach()).toBeLessThan(ATTACH_BOUND_MS)
+      expect(late.connections()).toBeLessThanOrEqual(2)
+    },
+  )
+
+  it('guards against waiting for a replica that accepts connections and never answers', async () => {
+    const leader = await startReplica({ fence: 2 })
+    const silent = await startReplica()
+    silent.silence('all')
+    // The seed that is tried first is the second one.
+    const { timeToAttach, fences } = startAgent(leader, silent)
+    expect(await timeToAttach()).toBeLessThan(LEAVE_BOUND_MS)
+    expect(silent.connections()).toBeGreaterThanOrEqual(1)
+    expect(fences).toContain(2)
+  })
+
+  it('guards against staying with a leader that went silent after another one was elected', async () => {
+    const old = await startReplica()
+    const next = await startReplica({ leading: false, leader: old.address })
+    const { timeToAttach, timeUntil, fences } = startAgent(next, old)
+    await timeToAttach()
+    old.silence('all')
+    await timers.setTimeout(ELECTION_MS)
+    expect(fences).not.toContain(2)
+    next.change({ leading: true, fence: 2 })
+    expect(await timeUntil(() => fences.includes(2), 10_000)).toBeLessThan(LEAVE_BOUND_MS)
+  })
+
+  it('guards against staying on a connection that lost its state while new ones work', async () => {
+    const leader = await startReplica()
+    const follower = await startReplica({ leading: false, leader: leader.address })
+    const { timeToAttach, timeUntil, fences } = startAgent(follower, leader)
+    await timeToAttach()
+    leader.silence('now')
+    await timers.setTimeout(2 * REPORT_INTERVAL_MS)
+    const heard = fences.length
+    expect(await timeUntil(() => fences.length > heard, 10_000)).toBeLessThan(ATTACH_BOUND_MS)
+  })
+
+  it('guards against leaving a leader that answers again after a stall of its loop', async () => {
+    const leader = await startReplica()
+    const follower = await startReplica({ leading: false, leader: leader.address })
+    const { stream, timeToAttach, timeUntil, fences } = startAgent(follower, leader)
+    await timeToAttach()
+    leader.change({ blockedMs: STALL_MS, freeMs: 1_000 })
+    await timers.setTimeout(STALL_MS / 2)
+    const heard = fences.length
+    leader.change({ blockedMs: 0 })
+    expect(await timeUntil(() => fences.length > heard, 10_000)).toBeLessThan(ATTACH_BOUND_MS)
+    await timers.setTimeout(STALL_MS)
+    expect(stream.isAttached()).toBe(true)
+    expect(leader.connections()).toBeLessThanOrEqual(2)
+  })
+})
--- a/packages/workflow-agent/src/attachTrace.ts
+++ b/packages/workflow-agent/src/attachTrace.ts
@@ -44,6 +44,8 @@
     why: string,
   ) => void
   readonly noteAttached: (attempt: Attempt, fence: number) => void
+  /** The leader answers again on the stream that was silent. */
+  readonly noteResumed: (address: string) => void
   readonly noteDetached: (address: string, why: string) => void
   /** Logs a search that goes on for long; to be called regularly. */
   readonly check: () => void
@@ -73,6 +75,14 @@
     listed = []
   }
 
+  const endSearch = (): number => {
+    if (searchSinceMs === undefined) return 0
+    const searchMs = Math.round(nowMs() - searchSinceMs)
+    metrics?.noteAttached(searchMs)
+    searchSinceMs = undefined
+    return searchMs
+  }
+
   return {
     noteEnded: (attempt, outcome, why) => {
       count(attempt, outcome)
@@ -82,11 +92,13 @@
     },
     noteAttached: (attempt, fence) => {
       count(attempt, 'attached')
-      const searchMs = searchSinceMs === undefined ? 0 : Math.round(nowMs() - searchSinceMs)
-      if (searchSinceMs !== undefined) metrics?.noteAttached(searchMs)
+      const searchMs = endSearch()
       const { address } = attempt
       logger.info('attached to the leader', { address, fence, searchMs, attempts, listed })
-      searchSinceMs = undefined
+    },
+    noteResumed: (address) => {
+      const searchMs = endSearch()
+      logger.info('the leader answers again', { address, searchMs, attempts, listed })
     },
     noteDetached: (address, why) => {
       logger.warn('detached from the leader', { address, why })
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -157,7 +157,7 @@
     nowMs,
     metrics: options.attachMetrics,
     onOrders,
-    onOpen: () => {
+    onReportDue: () => {
       for (const entry of rejections) entry.sentSequence = 0
       report()
     },
--- a/packages/workflow-client/__tests__/addressBook.spec.ts
+++ b/packages/workflow-client/__tests__/addressBook.spec.ts
@@ -43,6 +43,17 @@
     expect(book.next()).toBe('z')
   })
 
+  it('guards against asking a replica again whose answer is being waited for', () => {
+    const book = workflowClient.createAddressBook(
+      () => ['a', 'b'],
+      () => 0,
+    )
+    book.confirm('a')
+    expect(book.next((address) => address === 'a')).toBe('b')
+    expect(book.next(() => true)).toBeUndefined()
+    expect(book.next()).toBe('a')
+  })
+
   it('tries a silent address again when there is no other', () => {
     const book = workflowClient.createAddressBook(
       () => ['a'],
--- a/packages/workflow-client/src/addressBook.ts
+++ b/packages/workflow-client/src/addressBook.ts
@@ -12,8 +12,12 @@
   readonly confirm: (address: string) => void
   /** Notes that the replica at `address` did not answer or does not lead. */
   readonly reject: (address: string, silent: boolean) => void
-  /** Address to try next; undefined if none is known. */
-  readonly next: () => string | undefined
+  /**
+   * Address to try next; undefined if none is known or all are busy.
+   *
+   * @param isBusy whether an answer from an address is being waited for @default none is
+   */
+  readonly next: (isBusy?: (address: string) => boolean) => string | undefined
 }
 
 /**
@@ -48,9 +52,9 @@
       if (silent) suspectedUntilMs.set(address, nowMs() + SUSPECT_MS)
       else suspectedUntilMs.delete(address)
     },
-    next: () => {
-      if (leader !== undefined) return leader
-      const addresses = known()
+    next: (isBusy = () => false) => {
+      if (leader !== undefined && !isBusy(leader)) return leader
+      const addresses = known().filter((address) => !isBusy(address))
       position += 1
       const fresh = addresses.filter((address) => !isSuspect(address))
       const candidates = fresh.length > 0 ? fresh : addresses
