fix(workflow-client): one late call does not reset the connection of all others

Callers saw calls end as maybe done, which they cannot repeat, although the leader answered a little later.

Cause: a call that was not answered within 0.7 s dropped the connection that all other calls share and began again; a connection was given up after 0.3 s, which includes turns of the leader's loop.

Change: a connection is replaced when nothing at all was answered on it for 1.2 s of waiting calls (2 s while it is being made); the calls on it may still be answered. A call that is not answered for 0.7 s stays open while other replicas are asked, and the first answer of a leader counts. A refused connection is noticed at once.

Ruled out: waiting without asking others, since a submission waits 1.4 s in all and would miss an election.

--- /dev/null
+++ b/packages/workflow-client/__tests__/leaderClient.spec.ts
@@ -0,0 +1,183 @@
+import * as timers from 'node:timers/promises'
+import * as grpc from '@grpc/grpc-js'
+import * as protocol from '@ebonyweir/protocol'
+import * as workflowClient from '@ebonyweir/workflow-client'
+import * as vitest from 'vitest'
+import * as relays from './relay.js'
+
+const { afterEach, describe, expect, it } = vitest
+const { CallOutcome, JobState } = protocol.workflow
+
+/** Longest wait of a caller's question, in milliseconds. */
+const TIMEOUT_MS = 2_500
+
+/** A silent connection is replaced after 1.2 s; the rest is for the new one on a busy machine. */
+const REPLACED_BOUND_MS = 1_700
+
+const QUERY: protocol.workflow.JobQuery = { host: 'h', path: '/', job: 'j' }
+
+const started: { readonly stop: () => void }[] = []
+
+interface Replica extends relays.Relay {
+  leading: boolean
+  /** Address that it names as the leader's while it does not lead. */
+  leader: string
+  /** Wait before each answer, in milliseconds. */
+  answerMs: number
+  /** Calls received, in their order. */
+  readonly received: string[]
+}
+
+/** Replica that answers calls over gRPC, behind a relay. */
+const startReplica = async (
+  behaviour: Partial<Pick<Replica, 'leading' | 'leader' | 'answerMs'>> = {},
+): Promise<Replica> => {
+  const server = new grpc.Server()
+  const received: string[] = []
+  const answer = (name: string, send: (reply: protocol.workflow.CallReply) => void): void => {
+    received.push(name)
+    const { leading, leader, answerMs } = replica
+    const outcome = leading ? CallOutcome.OK : CallOutcome.NOT_LEADING
+    const hint = { leader: leading ? '' : leader, members: [] }
+    setTimeout(send, leading ? answerMs : 0, { outcome, hint, retryAfterMs: 0, detail: '' })
+  }
+  server.addService(protocol.workflow.WorkflowService, {
+    cancel: (_: unknown, done: grpc.sendUnaryData<protocol.workflow.CallReply>) => {
+      answer('cancel', (reply) => {
+        done(null, reply)
+      })
+    },
+    inspect: (_: unknown, done: grpc.sendUnaryData<protocol.workflow.JobReply>) => {
+      answer('inspect', (reply) => {
+        done(null, { reply, state: JobState.QUEUED })
+      })
+    },
+  })
+  const port = await new Promise<number>((resolve) => {
+    server.bindAsync('127.0.0.1:0', grpc.ServerCredentials.createInsecure(), (_, bound) => {
+      resolve(bound)
+    })
+  })
+  const relay = await relays.startRelay(port)
+  const replica: Replica = {
+    leading: true,
+    leader: '',
+    answerMs: 0,
+    ...behaviour,
+    ...relay,
+    received,
+    stop: () => {
+      relay.stop()
+      server.forceShutdown()
+    },
+  }
+  started.push(replica)
+  return replica
+}
+
+const startClient = (...seeds: readonly { readonly address: string }[]) => {
+  const client = workflowClient.createLeaderClient({
+    seeds: () => seeds.map(({ address }) => address),
+  })
+  started.push({ stop: client.close })
+  return client
+}
+
+const timed = async <T>(given: Promise<T>): Promise<readonly [T, number]> => {
+  const startMs = performance.now()
+  return [await given, performance.now() - startMs]
+}
+
+afterEach(() => {
+  for (const { stop } of started.splice(0).reverse()) stop()
+})
+
+describe('calls to the leader', () => {
+  const late = [
+    { name: 'answers after 0.9 s', answerMs: 900, connections: 1 },
+    // The connection is replaced meanwhile, but the call stays open.
+    { name: 'answers its only call after 1.6 s', answerMs: 1_600, connections: 2 },
+  ]
+
+  it.each(late)(
+    'guards against giving a leader up that $name',
+    async ({ answerMs, connections }) => {
+      const leader = await startReplica({ answerMs })
+      const follower = await startReplica({ leading: false, leader: leader.address })
+      const client = startClient(follower, leader)
+      const result = await client.cancel(QUERY, TIMEOUT_MS)
+      expect(result.isOk() ? 'done' : result.error).toBe('done')
+      expect(leader.connections()).toBeLessThanOrEqual(connections)
+    },
+  )
+
+  it('guards against a late call that resets the other calls on its connection', async () => {
+    const leader = await startReplica({ answerMs: 1_000 })
+    const client = startClient(leader)
+    const first = client.cancel(QUERY, TIMEOUT_MS)
+    await timers.setTimeout(400)
+    leader.answerMs = 900
+    const second = await client.inspect(QUERY, TIMEOUT_MS)
+    expect([(await first).isOk(), second.isOk()]).toEqual([true, true])
+    expect(leader.received).toEqual(['cancel', 'inspect'])
+    expect(leader.connections()).toBe(1)
+  })
+
+  it('guards against waiting on a connection that lost its state while new ones work', async () => {
+    const leader = await startReplica()
+    const client = startClient(leader)
+    expect((await client.inspect(QUERY, TIMEOUT_MS)).isOk()).toBe(true)
+    leader.silence('now')
+    const [result, tookMs] = await timed(client.inspect(QUERY, TIMEOUT_MS))
+    expect(result.isOk()).toBe(true)
+    expect(tookMs).toBeLessThan(REPLACED_BOUND_MS)
+    expect(leader.connections()).toBe(2)
+  })
+
+  it('guards against short calls that keep a silent connection because each gives up first', async () => {
+    const leader = await startReplica()
+    const client = startClient(leader)
+    await client.inspect(QUERY, TIMEOUT_MS)
+    leader.silence('now')
+    const outcomes: boolean[] = []
+    for (let attempt = 0; attempt < 5; attempt += 1) {
+      outcomes.push((await client.inspect(QUERY, 350)).isOk())
+    }
+    expect(outcomes[0]).toBe(false)
+    expect(outcomes.at(-1)).toBe(true)
+  })
+
+  it('guards against missing the election of another leader while the silent one is waited for', async () => {
+    const old = await startReplica()
+    const next = await startReplica({ leading: false, leader: old.address })
+    const client = startClient(next, old)
+    await client.cancel(QUERY, TIMEOUT_MS)
+    old.silence('all')
+    setTimeout(() => {
+      next.leading = true
+    }, 1_000)
+    const [result, tookMs] = await timed(client.cancel(QUERY, 1_400))
+    expect(result.isOk()).toBe(true)
+    expect(tookMs).toBeLessThan(1_400)
+  })
+
+  it('guards against a call said to be not done that a silent replica may have received', async () => {
+    const leader = await startReplica()
+    const client = startClient(leader)
+    await client.cancel(QUERY, TIMEOUT_MS)
+    leader.silence('all')
+    const silent = await client.cancel(QUERY, 600)
+    expect(silent.isErr() && silent.error.maybeDone).toBe(true)
+  })
+
+  it('guards against a call said to be maybe done that no replica can have received', async () => {
+    const gone = await startReplica()
+    gone.stop()
+    const refused = await startClient(gone).cancel(QUERY, 600)
+    expect(refused.isErr() && refused.error.maybeDone).toBe(false)
+    const silent = await startReplica()
+    silent.silence('all')
+    const unanswered = await startClient(silent).cancel(QUERY, 600)
+    expect(unanswered.isErr() && unanswered.error.maybeDone).toBe(false)
+  })
+})
--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -1,22 +1,33 @@
-/** Unary calls to the leader of a control group; finds it, follows its changes and replaces silent connections. */
-import * as timers from 'node:timers/promises'
+/**
+ * Unary calls to the leader of a control group; finds it and follows its changes. A call that is not answered stays open
+ * while other replicas are asked, and the first answer of a leader counts: every call may be carried out twice.
+ */
 import * as grpc from '@grpc/grpc-js'
-import * as peerTransport from '@ebonyweir/peer-transport'
 import * as protocol from '@ebonyweir/protocol'
 import * as results from 'ts-results-es'
 import * as addressBooks from './addressBook.js'
+import * as connections from './connections.js'
 
 type Workflow = protocol.workflow.WorkflowClient
 
-/** Longest wait for one replica's answer, in milliseconds; a commit takes a few syncs of the disk. */
-const ATTEMPT_TIMEOUT_MS = 700
+/** Time without an answer after which another replica is asked too, in milliseconds; a commit takes a few syncs of the disk. */
+const NEXT_ATTEMPT_MS = 700
 
-/** Longest wait for a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 300
+/** Time without a connection after which another replica is asked too, in milliseconds. */
+const NEXT_CONNECTION_MS = 300
+
+/** Attempts of one call that are open at the same time: one for each of three replicas and one on a new connection. */
+const MAX_OPEN_ATTEMPTS = 4
 
 /** Pause after a replica that does not lead, in milliseconds; an election takes about a second. */
 const RETRY_PAUSE_MS = 80
 
+/**
+ * Pause after a replica that names a leader whose answer is being waited for, in milliseconds: it may not know yet that
+ * the leader is gone, and a submission has 0.7 s left then.
+ */
+const NAMED_PAUSE_MS = 200
+
 /** Why a call has no answer from a leader. */
 export interface CallFailure {
   /** Whether a replica may have received the call, so that it may take effect. */
@@ -51,7 +62,21 @@
   request: Request,
   options: Partial<grpc.CallOptions>,
   callback: (error: grpc.ServiceError | null, response: Response) => void,
-) => void
+) => grpc.ClientUnaryCall
+
+/** One attempt of a call at one replica. */
+interface Attempt {
+  readonly address: string
+  readonly isReplaced: () => boolean
+  /** Whether the replica may have received the call. */
+  isSent: boolean
+  readonly end: (how: 'unanswered' | 'withdrawn') => void
+}
+
+type AttemptEvent<Response> =
+  | { readonly kind: 'connected' | 'no connection' | 'replaced' }
+  | { readonly kind: 'answered'; readonly response: Response }
+  | { readonly kind: 'failed'; readonly detail: string }
 
 export interface LeaderClientOptions {
   /** gRPC addresses from the settings. */
@@ -74,47 +99,58 @@
 export const createLeaderClient = (options: LeaderClientOptions): LeaderClient => {
   const nowMs = options.nowMs ?? (() => performance.now())
   const book = addressBooks.createAddressBook(options.seeds, nowMs)
-  const clients = new Map<string, Workflow>()
+  const pool = connections.createConnections(nowMs)
   let leaderAtMs = Number.NEGATIVE_INFINITY
 
-  const clientFor = (address: string): Workflow => {
-    const known = clients.get(address)
-    if (known !== undefined) return known
-    const credentials = grpc.credentials.createInsecure()
-    const client = new protocol.workflow.WorkflowClient(
-      address,
-      credentials,
-      peerTransport.CHANNEL_OPTIONS,
-    )
-    clients.set(address, client)
-    return client
-  }
-
-  // A connection may be silent for good while new ones work.
-  const drop = (address: string, client: Workflow): void => {
-    if (clients.get(address) === client) clients.delete(address)
-    client.close()
-  }
-
-  const connect = (client: Workflow, timeoutMs: number): Promise<boolean> =>
-    new Promise((resolve) => {
-      client.waitForReady(Date.now() + timeoutMs, (error) => {
-        resolve(error === undefined)
-      })
-    })
-
-  const send = <Request, Response>(
-    client: Workflow,
+  const beginAttempt = <Request, Response>(
+    address: string,
     method: Method<Request, Response>,
     request: Request,
-    timeoutMs: number,
-  ): Promise<results.Result<Response, grpc.ServiceError>> =>
-    new Promise((resolve) => {
-      const deadline = Date.now() + timeoutMs
-      method(client, request, { deadline }, (error, response) => {
-        resolve(error === null ? results.Ok(response) : results.Err(error))
-      })
+    endMs: number,
+    notify: (attempt: Attempt, event: AttemptEvent<Response>) => void,
+  ): Attempt => {
+    const connection = pool.to(address)
+    let sent: grpc.ClientUnaryCall | undefined
+    let ended = false
+    const wait = connection.begin(() => {
+      notify(attempt, { kind: 'replaced' })
+    })
+    const end = (how: Parameters<typeof wait.end>[0]): void => {
+      ended = true
+      wait.end(how)
+    }
+    const attempt: Attempt = {
+      address,
+      isReplaced: connection.isReplaced,
+      isSent: false,
+      end: (how) => {
+        end(how)
+        sent?.cancel()
+      },
+    }
+    const onAnswer = (error: grpc.ServiceError | null, response: Response): void => {
+      if (ended) return
+      const isLost = error?.code === grpc.status.UNAVAILABLE
+      const isUnanswered = isLost || error?.code === grpc.status.DEADLINE_EXCEEDED
+      end(isUnanswered ? 'unanswered' : 'answered')
+      if (isLost) connection.replace()
+      if (error === null) notify(attempt, { kind: 'answered', response })
+      else notify(attempt, { kind: 'failed', detail: error.details })
+    }
+    void connection.ready().then((isReady) => {
+      if (ended) return
+      if (!isReady) {
+        end('unanswered')
+        notify(attempt, { kind: 'no connection' })
+        return
+      }
+      attempt.isSent = true
+      const deadline = Date.now() + Math.max(1, endMs - nowMs())
+      sent = method(connection.client, request, { deadline }, onAnswer)
+      notify(attempt, { kind: 'connected' })
     })
+    return attempt
+  }
 
   const call = async <Request, Response>(
     method: Method<Request, Response>,
@@ -122,48 +158,106 @@
     timeoutMs: number,
   ): Reply<Response> => {
     const endMs = nowMs() + timeoutMs
+    const open = new Set<Attempt>()
+    const events: (readonly [Attempt, AttemptEvent<Response>])[] = []
+    let wake = (): void => undefined
+    let nextMs = nowMs()
     let maybeDone = false
     let detail = 'no replica is known'
-    for (;;) {
-      const leftMs = endMs - nowMs()
-      const address = leftMs > 0 ? book.next() : undefined
-      if (address === undefined) return results.Err({ maybeDone, detail })
-      const client = clientFor(address)
-      if (!(await connect(client, Math.min(CONNECT_TIMEOUT_MS, leftMs)))) {
-        detail = `${address}: no connection`
-        drop(address, client)
-        book.reject(address, true)
-        await timers.setTimeout(RETRY_PAUSE_MS)
-        continue
-      }
-      const attemptMs = Math.min(ATTEMPT_TIMEOUT_MS, Math.max(1, endMs - nowMs()))
-      const result = await send(client, method, request, attemptMs)
-      if (result.isErr()) {
-        maybeDone = true
-        detail = `${address}: ${result.error.details}`
-        drop(address, client)
-        book.reject(address, true)
-        await timers.setTimeout(RETRY_PAUSE_MS)
-        continue
+
+    const notify = (attempt: Attempt, event: AttemptEvent<Response>): void => {
+      events.push([attempt, event])
+      wake()
+    }
+
+    const isBusy = (address: string): boolean => {
+      for (const attempt of open) {
+        if (attempt.address === address && !attempt.isReplaced()) return true
       }
-      const reply = replyOf(result.value)
+      return false
+    }
+
+    const waitUntil = (untilMs: number): Promise<void> =>
+      new Promise((resolve) => {
+        const timer = setTimeout(resolve, Math.max(1, untilMs - nowMs()))
+        wake = () => {
+          clearTimeout(timer)
+          resolve()
+        }
+      })
+
+    /** Takes an answer over; gives the response if it settles the call. */
+    const settle = (address: string, response: Response): Response | undefined => {
+      const reply = replyOf(response)
+      nextMs = nowMs() + RETRY_PAUSE_MS
       if (reply === undefined || reply.outcome === CallOutcome.NOT_LEADING) {
         detail = `${address}: does not lead`
         book.reject(address, false)
         book.learn(reply?.hint)
-        await timers.setTimeout(RETRY_PAUSE_MS)
-        continue
+        if (isBusy(reply?.hint?.leader ?? '')) nextMs = nowMs() + NAMED_PAUSE_MS
+        return undefined
       }
       leaderAtMs = nowMs()
       book.confirm(address)
       book.learn(reply.hint)
-      if (reply.outcome === CallOutcome.UNKNOWN) {
-        maybeDone = true
-        detail = `${address}: ${reply.detail}`
-        await timers.setTimeout(RETRY_PAUSE_MS)
-        continue
+      if (reply.outcome !== CallOutcome.UNKNOWN) return response
+      maybeDone = true
+      detail = `${address}: ${reply.detail}`
+      return undefined
+    }
+
+    const take = (attempt: Attempt, event: AttemptEvent<Response>): Response | undefined => {
+      const { address } = attempt
+      switch (event.kind) {
+        case 'connected':
+          nextMs = nowMs() + NEXT_ATTEMPT_MS
+          return undefined
+        case 'replaced':
+          if (!attempt.isSent) return undefined
+          detail = `${address}: silent`
+          book.reject(address, true)
+          nextMs = nowMs()
+          return undefined
+        case 'answered':
+          open.delete(attempt)
+          return settle(address, event.response)
+        default:
+          open.delete(attempt)
+          if (event.kind === 'failed') maybeDone = true
+          detail = `${address}: ${event.kind === 'failed' ? event.detail : event.kind}`
+          book.reject(address, true)
+          nextMs = nowMs() + RETRY_PAUSE_MS
+          return undefined
+      }
+    }
+
+    const tryNext = (): void => {
+      nextMs = nowMs() + RETRY_PAUSE_MS
+      const address = open.size < MAX_OPEN_ATTEMPTS ? book.next(isBusy) : undefined
+      if (address === undefined) return
+      open.add(beginAttempt(address, method, request, endMs, notify))
+      nextMs = nowMs() + NEXT_CONNECTION_MS
+    }
+
+    const endAll = (how: 'unanswered' | 'withdrawn'): void => {
+      for (const attempt of open) attempt.end(how)
+    }
+
+    for (;;) {
+      for (const [attempt, event] of events.splice(0)) {
+        const response = take(attempt, event)
+        if (response === undefined) continue
+        endAll('withdrawn')
+        return results.Ok(response)
+      }
+      const isOver = nowMs() >= endMs
+      if (!isOver && nowMs() >= nextMs) tryNext()
+      if (isOver || (open.size === 0 && book.next() === undefined)) {
+        if ([...open].some(({ isSent }) => isSent)) maybeDone = true
+        endAll('unanswered')
+        return results.Err({ maybeDone, detail })
       }
-      return results.Ok(result.value)
+      if (events.length === 0) await waitUntil(Math.min(endMs, nextMs))
     }
   }
 
@@ -175,34 +269,33 @@
   const none = (): grpc.Metadata => new grpc.Metadata()
 
   return {
-    submit: bind((client, request, settings, done) => {
-      client.submit(request, none(), settings, done)
-    }),
-    cancel: bind((client, request, settings, done) => {
-      client.cancel(request, none(), settings, done)
-    }),
-    inspect: bind((client, request, settings, done) => {
-      client.inspect(request, none(), settings, done)
-    }),
-    countPending: bind((client, request, settings, done) => {
-      client.countPending(request, none(), settings, done)
-    }),
-    configure: bind((client, request, settings, done) => {
-      client.configure(request, none(), settings, done)
-    }),
-    readConfiguration: bind((client, request, settings, done) => {
-      client.readConfiguration(request, none(), settings, done)
-    }),
-    evacuate: bind((client, request, settings, done) => {
-      client.evacuate(request, none(), settings, done)
-    }),
-    contact: bind((client, request, settings, done) => {
-      client.contact(request, none(), settings, done)
-    }),
+    submit: bind((client, request, settings, done) =>
+      client.submit(request, none(), settings, done),
+    ),
+    cancel: bind((client, request, settings, done) =>
+      client.cancel(request, none(), settings, done),
+    ),
+    inspect: bind((client, request, settings, done) =>
+      client.inspect(request, none(), settings, done),
+    ),
+    countPending: bind((client, request, settings, done) =>
+      client.countPending(request, none(), settings, done),
+    ),
+    configure: bind((client, request, settings, done) =>
+      client.configure(request, none(), settings, done),
+    ),
+    readConfiguration: bind((client, request, settings, done) =>
+      client.readConfiguration(request, none(), settings, done),
+    ),
+    evacuate: bind((client, request, settings, done) =>
+      client.evacuate(request, none(), settings, done),
+    ),
+    contact: bind((client, request, settings, done) =>
+      client.contact(request, none(), settings, done),
+    ),
     sinceLeaderMs: () => nowMs() - leaderAtMs,
     close: () => {
-      for (const client of clients.values()) client.close()
-      clients.clear()
+      pool.close()
     },
   }
 }
