fix(workflow-control): give no order for a run whose end is being recorded

Callers saw a task run twice: the leader repeated the order for a run on a new stream while the rejection or the loss of that run was being committed. The worker, which had room by then, started it, and the commit let the next run be assigned elsewhere.

Cause: `reconcile` read the assignments as applied and did not know of ends under way. A rejection that arrives late on a replaced stream had the same effect after the order was repeated on the new one.

The leader counts the commits under way by run, leaves these runs out, and repeats the orders when such a commit is refused for overload and so has no effect. It ignores rejections on a stream that was replaced; the agent reports them on the new one.

Ruled out: a commit whose outcome is unknown. The leader has stepped down then, and the next one repeats orders only after it applied its log.

--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -97,6 +97,105 @@
   })
 })
 
+describe('ends that are being recorded', () => {
+  const RUN = 'j.0.0.0#1'
+  const rejected = [[RUN, RejectionReason.NO_ROOM]] as const
+
+  /** Holds commits back until the returned function is called. */
+  const holdCommits = (): (() => Promise<unknown>) => {
+    let open: () => void = () => undefined
+    harness.control.gate = new Promise((resolve) => {
+      open = resolve
+    })
+    return () => {
+      open()
+      return settle()
+    }
+  }
+
+  const cases: readonly {
+    readonly name: string
+    /** Reports of the agent on its first stream, and on its second one while the commit is under way. */
+    readonly first: harnesses.ReportFields
+    readonly second: harnesses.ReportFields
+  }[] = [
+    {
+      name: 'guards against an order for a run whose rejection is being committed',
+      first: { rejected },
+      second: {},
+    },
+    {
+      name: 'guards against an order for a run that the first report of a stream rejects',
+      first: {},
+      second: { rejected },
+    },
+    {
+      name: 'guards against an order for a run whose rejection is reported again',
+      first: { rejected },
+      second: { rejected },
+    },
+  ]
+
+  it.each(cases)('$name', async ({ first, second }) => {
+    const before = harness.attach('w')
+    before.report()
+    harness.submit('j', [{}])
+    await settle()
+    const release = holdCommits()
+    before.report(first)
+    const after = harness.attach('w')
+    after.report(second)
+    await settle()
+    expect(after.starts()).toEqual([])
+    await release()
+    // A worker that had no room gets no new run for a moment.
+    expect(after.starts()).toEqual([])
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'waiting', run: 1 })
+  })
+
+  it('guards against an order for a run that is being declared lost', async () => {
+    const silent = harness.attach('w')
+    silent.report()
+    harness.submit('j', [{}])
+    await settle()
+    const release = holdCommits()
+    await harness.pass(harnesses.LEASE_MS + 1_500)
+    const back = harness.attach('w')
+    back.report()
+    await settle()
+    expect(back.starts()).toEqual([])
+    await release()
+    expect(back.starts()).toEqual(['j.0.0.0#2'])
+  })
+
+  it('guards against a late rejection of a replaced stream after the order was repeated', async () => {
+    const before = harness.attach('w')
+    before.report()
+    harness.submit('j', [{}])
+    await settle()
+    const after = harness.attach('w')
+    after.report()
+    expect(after.starts()).toEqual([RUN])
+    before.report({ rejected })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'assigned', run: 1 })
+  })
+
+  it('guards against a run that nobody starts after its rejection was not committed', async () => {
+    const before = harness.attach('w')
+    before.report()
+    harness.submit('j', [{}])
+    await settle()
+    const release = holdCommits()
+    harness.control.overloaded = true
+    before.report({ rejected })
+    const after = harness.attach('w')
+    after.report()
+    await release()
+    expect(after.repeatedStarts()).toEqual([RUN])
+  })
+})
+
 describe('workers that are lost', () => {
   it('guards against a second run before the lease of a silent worker has ended', async () => {
     const silent = harness.attach('v')
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -57,6 +57,10 @@
   const control = {
     leading: true,
     commits: true,
+    /** Commits wait for it. */
+    gate: Promise.resolve(),
+    /** Error of the next proposals that is known to have no effect. */
+    overloaded: false,
     /** Called after each commit, before its outcome is known to the term. */
     proposed: (): void => undefined,
   }
@@ -79,12 +83,13 @@
     view: state.view,
     nowMs,
     leadingTerm: () => (control.leading ? 7 : undefined),
-    propose: (body) => {
-      if (!control.commits)
-        return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
+    propose: async (body) => {
+      await control.gate
+      if (control.overloaded) return results.Err({ kind: 'overloaded', detail: '' })
+      if (!control.commits) return results.Err({ kind: 'unknown', leader: undefined })
       const outcome = state.apply({ nowMs: Date.now(), body })
       control.proposed()
-      return Promise.resolve(results.Ok(outcome))
+      return results.Ok(outcome)
     },
     hint: () => ({ leader: '', members: [] }),
   }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -7,6 +7,7 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as assignmentRounds from './assignmentRounds.js'
 import type * as context from './context.js'
+import * as endsUnderWay from './endsUnderWay.js'
 import * as fillerPacing from './fillerPacing.js'
 import * as fillerRanks from './fillerRanks.js'
 import * as proposalBatch from './proposalBatch.js'
@@ -73,6 +74,7 @@
   const durations = scheduling.createDurations()
   const progress = runProgress.createRunProgress(durations)
   const disturbance = scheduling.createDisturbance()
+  const underWay = endsUnderWay.createEndsUnderWay()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
 
   const activeRun = (run: TaskRun): workflowState.ActiveRun | undefined => {
@@ -117,9 +119,15 @@
     ends: readonly protocol.workflow.RunEnd[],
   ): Promise<boolean> => {
     for (const end of ends) noteEnd(worker, end)
+    underWay.add(ends)
     const result = await proposeSoon({ $case: 'ends', value: { worker, ends } })
+    underWay.remove(ends)
     if (result.isErr()) {
       logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
+      // What was refused stays assigned, and orders for it may have been left out meanwhile.
+      const session = sessionOf(workflowState.workerKey(worker))
+      const isListed = session?.listedMs !== undefined
+      if (result.error.kind === 'overloaded' && isListed) reconcile(session)
       return false
     }
     logger.info('runs ended', {
@@ -156,7 +164,10 @@
     repeated,
   })
 
-  /** Repeats the orders that an agent may have missed before it attached. */
+  /**
+   * Repeats the orders that an agent may have missed before it attached. A run whose end is being recorded gets none: it
+   * would start here while its next run is assigned.
+   */
   const reconcile = (session: sessions.WorkerSession): void => {
     const load = view.loads.get(session.key)
     if (load === undefined) return
@@ -165,6 +176,7 @@
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
       const run = runOf(active)
+      if (underWay.has(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
       if (active.step.job.phase !== 'active' || (!isRunning && !mayStart)) stops.push(run)
@@ -298,6 +310,8 @@
   ): void => {
     const { identity, key } = session
     if (identity === undefined || report.rejected.length === 0) return
+    // A later session has repeated the orders since; what still holds is reported there again.
+    if (byAgent.get(session.agent) !== session) return
     const ends: protocol.workflow.RunEnd[] = []
     for (const { run, reason } of report.rejected) {
       const active = run && activeRun(run)
