test(model-check): agents that start again and leaders that change while an order is under way

The model of runs took the knowledge of an unanswered order from the world. An order now carries what the agent process that gave it knows, an agent may be killed and start again, the leader may change, and a rejection is pending until it is committed in scenarios with either. Orders to an agent that attaches again are repeated as the leader does.

--- a/packages/model-check/__tests__/runs.spec.ts
+++ b/packages/model-check/__tests__/runs.spec.ts
@@ -4,6 +4,7 @@
 const { describe, expect, test } = vitest
 
 const options = { maxStates: 40_000, nowMs: () => performance.now() }
+const noReattaching = { agentRestarts: 0, leaderChanges: 0 }
 const rows = modelCheck.runScenarios.map((scenario) => [scenario.name, scenario] as const)
 
 describe('runs of graph jobs', () => {
@@ -22,8 +23,8 @@
 
   // Guards against protections that hold alone and fail together.
   test.each([
-    { crashes: 1, copies: 0, refusals: 1, lapses: 1, failures: 1 },
-    { crashes: 0, copies: 1, refusals: 1, lapses: 1, failures: 1 },
+    { ...noReattaching, crashes: 1, copies: 0, refusals: 1, lapses: 1, failures: 1 },
+    { ...noReattaching, crashes: 0, copies: 1, refusals: 1, lapses: 1, failures: 1 },
   ])('keep their promises with several faults, as far as the bound goes: %o', (budget) => {
     const scenario = { name: 'several faults', protection: 'waitForLease', budget } as const
     const model = modelCheck.createRunModel(scenario, true)
--- a/packages/model-check/src/runModel.ts
+++ b/packages/model-check/src/runModel.ts
@@ -17,6 +17,9 @@
   readonly refusals: number
   readonly lapses: number
   readonly failures: number
+  /** Agent processes that are killed and start again. */
+  readonly agentRestarts: number
+  readonly leaderChanges: number
 }
 
 export interface RunScenario {
@@ -65,6 +68,14 @@
   }
 }
 
+const orderTo = (worker: Worker, run: runWorld.TaskRun, uncertain: boolean): runWorld.RunOrder => ({
+  run,
+  workerId: worker.id,
+  lease: worker.lease,
+  awaited: true,
+  uncertain,
+})
+
 /** Runs that the state machine holds for one incarnation. */
 const runsHeldBy = (
   view: workflowState.WorkflowView,
@@ -135,7 +146,7 @@
           })
           if (outcome.kind !== 'assigned') return committed
           const orders = outcome.accepted.flatMap(({ task }) =>
-            task === undefined ? [] : [{ run: task, workerId: worker.id, lease: worker.lease }],
+            task === undefined ? [] : [orderTo(worker, task, false)],
           )
           return { ...committed, orders: [...committed.orders, ...orders] }
         }
@@ -163,11 +174,17 @@
       const actions: RunAction[] = [
         { text: `${label} arrives`, apply: () => start(arrived, worker, order) },
       ]
+      if (!order.awaited) return actions
       if (world.copies < budget.copies) {
         const copies = world.copies + 1
+        const orders = [
+          ...arrived.orders,
+          { ...order, awaited: false },
+          { ...order, uncertain: true },
+        ]
         actions.push({
           text: `${label} gets no answer and is sent again`,
-          apply: () => ({ ...world, copies, orders: [...world.orders, order] }),
+          apply: () => ({ ...world, copies, orders }),
         })
       }
       if (world.refusals < budget.refusals) {
@@ -179,14 +196,69 @@
       return actions
     })
 
-  const refuse = (world: World, worker: Worker, { run }: runWorld.RunOrder): World => {
+  const isReattaching = budget.agentRestarts + budget.leaderChanges > 0
+
+  const refuse = (world: World, worker: Worker, { run, uncertain }: runWorld.RunOrder): World => {
     // The agent looks at a list first: a run that is there, or has ended there, is not refused.
     const isThere = [...worker.running, ...worker.ends.map((listed) => listed.run)]
     if (isThere.some((other) => isSameRun(run, other))) return world
-    const isUncertain = world.orders.some((other) => isSameRun(run, other.run))
     const barred =
-      isUncertain && guards.barUncertainOrders ? replaceWorker(world, bar(worker, [run])) : world
-    return commit(barred, endsOf(worker, worker.bornMs, [run], EndKind.REJECTED))
+      uncertain && guards.barUncertainOrders ? replaceWorker(world, bar(worker, [run])) : world
+    const { bornMs } = worker
+    // Without agents that attach again nothing depends on the moment of the commit.
+    if (!isReattaching) return commit(barred, endsOf(worker, bornMs, [run], EndKind.REJECTED))
+    const rejection = { run, workerId: worker.id, bornMs, reported: true }
+    return { ...barred, rejections: [...world.rejections, rejection] }
+  }
+
+  const recordRejections = (world: World): readonly RunAction[] =>
+    world.rejections.map(({ run, workerId, bornMs }, index) => ({
+      text: `the rejection of ${labelOf(run)} by ${workerId} is recorded`,
+      apply: () =>
+        commit(
+          { ...world, rejections: without(world.rejections, index) },
+          endsOf({ id: workerId }, bornMs, [run], EndKind.REJECTED),
+        ),
+    }))
+
+  /** The agent of a worker attaches; the leader repeats the orders for the runs that the worker holds. */
+  const reattach = (world: World, worker: Worker): World => {
+    const { view } = runWorld.replay(world.log)
+    const held = runsHeldBy(view, worker.id, world.known[worker.id] ?? 0)
+    const isEnding = (run: runWorld.TaskRun): boolean =>
+      guards.skipEndingRuns && world.rejections.some((other) => isSameRun(run, other.run))
+    const isAwaited = (run: runWorld.TaskRun): boolean =>
+      world.orders.some((order) => order.awaited && isSameRun(run, order.run))
+    const repeated = held
+      .filter((run) => !isEnding(run) && !isAwaited(run))
+      .map((run) => orderTo(worker, run, guards.markRepeatedOrders))
+    return { ...world, orders: [...world.orders, ...repeated] }
+  }
+
+  const restartAgent = (world: World, worker: Worker): readonly RunAction[] => {
+    if (world.agentRestarts >= budget.agentRestarts) return []
+    const forgotten = {
+      ...world,
+      agentRestarts: world.agentRestarts + 1,
+      orders: world.orders.map((order) =>
+        order.workerId === worker.id ? { ...order, awaited: false } : order,
+      ),
+      rejections: world.rejections.map((rejection) =>
+        rejection.workerId === worker.id ? { ...rejection, reported: false } : rejection,
+      ),
+    }
+    const text = `the agent of ${worker.id} is killed and starts again`
+    return [{ text, apply: () => reattach(forgotten, worker) }]
+  }
+
+  const changeLeader = (world: World): readonly RunAction[] => {
+    if (world.leaderChanges >= budget.leaderChanges) return []
+    const changed = {
+      ...world,
+      leaderChanges: world.leaderChanges + 1,
+      rejections: world.rejections.filter(({ reported }) => reported),
+    }
+    return [{ text: 'the leader changes', apply: () => world.workers.reduce(reattach, changed) }]
   }
 
   const end = (world: World, worker: Worker): readonly RunAction[] =>
@@ -296,6 +368,7 @@
         })),
         known: Object.fromEntries(WORKER_IDS.map((id) => [id, 1])),
         orders: [],
+        rejections: [],
         acknowledged: [],
         startedAgain: [],
         crashes: 0,
@@ -303,6 +376,8 @@
         refusals: 0,
         lapses: 0,
         failures: 0,
+        agentRestarts: 0,
+        leaderChanges: 0,
       },
     ],
     actions: (world) => {
@@ -310,10 +385,13 @@
       return [
         ...assign(world, view),
         ...deliver(world),
+        ...recordRejections(world),
+        ...changeLeader(world),
         ...world.workers.flatMap((worker) => [
           ...end(world, worker),
           ...record(world, worker),
           ...crash(world, worker),
+          ...restartAgent(world, worker),
           ...learn(world, worker, view),
           ...fallSilent(world, worker, view),
         ]),
--- a/packages/model-check/src/runScenarios.ts
+++ b/packages/model-check/src/runScenarios.ts
@@ -6,6 +6,8 @@
   refusals: 0,
   lapses: 0,
   failures: 0,
+  agentRestarts: 0,
+  leaderChanges: 0,
 }
 
 /** Scenarios of runs; each one shows what its protection prevents. */
@@ -20,6 +22,16 @@
     protection: 'barUncertainOrders',
     budget: { ...NO_FAULTS, copies: 1, refusals: 1 },
   },
+  {
+    name: 'an agent is killed between an order without an answer and a refusal of the repeated one',
+    protection: 'markRepeatedOrders',
+    budget: { ...NO_FAULTS, agentRestarts: 1, leaderChanges: 1, refusals: 1 },
+  },
+  {
+    name: 'the leader changes between the refusal of an order and its commit',
+    protection: 'skipEndingRuns',
+    budget: { ...NO_FAULTS, leaderChanges: 1, refusals: 1 },
+  },
   {
     name: 'an order to an earlier incarnation reaches the next one under its id',
     protection: 'barOldIncarnation',
--- a/packages/model-check/src/runWorld.ts
+++ b/packages/model-check/src/runWorld.ts
@@ -11,6 +11,10 @@
   readonly commitBeforeAcknowledge: boolean
   /** A refused run whose order may still be under way is stopped first, which bars it at the worker. */
   readonly barUncertainOrders: boolean
+  /** The leader marks an order that may have been given before, so that a new agent process counts it as uncertain. */
+  readonly markRepeatedOrders: boolean
+  /** The leader does not repeat an order for a run whose end is being recorded. */
+  readonly skipEndingRuns: boolean
   /** Runs of an earlier incarnation are barred at the new one before they end. */
   readonly barOldIncarnation: boolean
   /** A silent worker's runs end only after its lease has ended. */
@@ -20,6 +24,8 @@
 export const ALL_GUARDS: RunGuards = {
   commitBeforeAcknowledge: true,
   barUncertainOrders: true,
+  markRepeatedOrders: true,
+  skipEndingRuns: true,
   barOldIncarnation: true,
   waitForLease: true,
 }
@@ -30,6 +36,19 @@
   readonly workerId: string
   /** Lease of the worker that the order extends; a later one refuses it as late. */
   readonly lease: number
+  /** The agent process that gave the order still waits for its answer. */
+  readonly awaited: boolean
+  /** That process takes into account that an earlier copy may still be carried out. */
+  readonly uncertain: boolean
+}
+
+/** Rejection that the leader knows or gets with the next report, and that is not committed yet. */
+export interface PendingRejection {
+  readonly run: TaskRun
+  readonly workerId: string
+  readonly bornMs: number
+  /** The agent process that reports it lives, so that the next leader gets it as well. */
+  readonly reported: boolean
 }
 
 export interface ListedEnd {
@@ -56,6 +75,7 @@
   /** Incarnation that the leader knows, by worker id. */
   readonly known: Readonly<Record<string, number>>
   readonly orders: readonly RunOrder[]
+  readonly rejections: readonly PendingRejection[]
   /** Tasks whose completion the worker was allowed to forget. */
   readonly acknowledged: readonly string[]
   /** Tasks that started after that. */
@@ -65,6 +85,8 @@
   readonly refusals: number
   readonly lapses: number
   readonly failures: number
+  readonly agentRestarts: number
+  readonly leaderChanges: number
 }
 
 /** Name of a failure domain and a service that all workers of the model share. */
