fix(workflow-agent): take a repeated order after a withdrawal met a higher fence

Callers saw a run that stayed assigned and was never started: an agent that stopped a run before rejecting it was told of a higher fence, gave up, and ignored the order when the leader repeated it on the next stream.

Cause: the entry of the run stayed in the table after its attempts had ended, and an order for a run with an entry counts as known.

The entry is removed when the withdrawal returns, whatever its outcome. What the attempts did not settle is settled by the repeated order, which counts as uncertain.

--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -248,6 +248,20 @@
     expect(subject.calls).toEqual(['start until 6000', 'start until 7000'])
   })
 
+  it('guards against a repeated order that is ignored because its withdrawal met a higher fence', async () => {
+    const subject = createSubject({
+      answers: [unanswered, refused('no-room')],
+      stops: ['fence', 'done'],
+    })
+    subject.start()
+    await settle(subject)
+    expect(subject.fenced()).toBe(1)
+    expect(subject.rejections).toEqual([])
+    subject.start()
+    await settle(subject)
+    expect(subject.calls.filter((call) => call !== 'stop')).toHaveLength(3)
+  })
+
   it('guards against an order of an old leader', async () => {
     const subject = createSubject({ answers: [refused('fence')] })
     subject.start()
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -130,6 +130,9 @@
       // An earlier order without an answer may still be carried out.
       if (uncertain) await withdraw(run, reason)
       else reject(run, reason)
+      // A withdrawal that a higher fence ended without an outcome leaves the run to a repeated order.
+      const key = workflowState.runKey(run)
+      if (entries.get(key) === entry) entries.delete(key)
     }
     for (;;) {
       if (closed || entry.started || entry.stopRequested) return
