--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -77,6 +77,10 @@
     commits: true,
     /** Proposals are added to `held`. */
     holds: false,
+    /** Commits wait for it. */
+    gate: Promise.resolve(),
+    /** Error of the next proposals that is known to have no effect. */
+    overloaded: false,
     /** Called after each commit, before its outcome is known to the term. */
     proposed: (): void => undefined,
   }
@@ -100,15 +104,16 @@
     view: state.view,
     nowMs,
     leadingTerm: () => (control.leading ? 7 : undefined),
-    propose: (body) => {
-      if (!control.commits)
-        return Promise.resolve(results.Err({ kind: 'unknown', leader: undefined }))
+    propose: async (body) => {
+      await control.gate
+      if (control.overloaded) return results.Err({ kind: 'overloaded', detail: '' })
+      if (!control.commits) return results.Err({ kind: 'unknown', leader: undefined })
       const apply = () => {
         const outcome = state.apply({ nowMs: Date.now(), body })
         control.proposed()
         return results.Ok(outcome)
       }
-      if (!control.holds) return Promise.resolve(apply())
+      if (!control.holds) return apply()
       return new Promise((resolve) => {
         held.push({
           body,
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -9,6 +9,7 @@
 import type * as context from './context.js'
 import * as endIntakes from './endIntake.js'
 import * as endMonitors from './endMonitor.js'
+import * as endsUnderWay from './endsUnderWay.js'
 import * as fillerPacing from './fillerPacing.js'
 import * as fillerRanks from './fillerRanks.js'
 import * as proposalBatch from './proposalBatch.js'
@@ -74,6 +75,7 @@
   const durations = scheduling.createDurations()
   const progress = runProgress.createRunProgress(durations)
   const disturbance = scheduling.createDisturbance()
+  const underWay = endsUnderWay.createEndsUnderWay()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
   const endMonitor = endMonitors.createEndMonitor({ logger, view, counter: endCounter, nowMs })
 
@@ -117,7 +119,9 @@
     worker: WorkerIdentity,
     ends: readonly protocol.workflow.RunEnd[],
   ): context.Proposed => {
+    underWay.add(ends)
     const result = await proposeSoon({ $case: 'ends', value: { worker, ends } })
+    underWay.remove(ends)
     if (result.isOk()) rounds.dispatch()
     return result
   }
@@ -129,8 +133,15 @@
   ): Promise<void> => {
     for (const end of ends) noteEnd(worker, end)
     const result = await commitEnds(worker, ends)
-    if (result.isOk()) endMonitor.noteCommitted(worker, ends)
-    else logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
+    if (result.isOk()) {
+      endMonitor.noteCommitted(worker, ends)
+      return
+    }
+    logger.warn('ends not committed', { worker: worker.id, reason: result.error.kind })
+    // What was refused stays assigned, and orders for it may have been left out meanwhile.
+    const session = sessionOf(workflowState.workerKey(worker))
+    const isListed = session?.listedMs !== undefined
+    if (result.error.kind === 'overloaded' && isListed) reconcile(session)
   }
 
   /** A filler starts at the pace that its neighbours are expected to bear. */
@@ -156,7 +167,10 @@
     repeated,
   })
 
-  /** Repeats the orders that an agent may have missed before it attached. */
+  /**
+   * Repeats the orders that an agent may have missed before it attached. A run whose end is being recorded gets none: it
+   * would start here while its next run is assigned.
+   */
   const reconcile = (session: sessions.WorkerSession): void => {
     const load = view.loads.get(session.key)
     if (load === undefined) return
@@ -165,6 +179,7 @@
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
       const run = runOf(active)
+      if (underWay.has(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
       if (active.step.job.phase !== 'active' || (!isRunning && !mayStart)) stops.push(run)
@@ -292,6 +307,8 @@
   ): void => {
     const { identity, key } = session
     if (identity === undefined || report.rejected.length === 0) return
+    // A later session has repeated the orders since; what still holds is reported there again.
+    if (byAgent.get(session.agent) !== session) return
     const ends: protocol.workflow.RunEnd[] = []
     for (const { run, reason } of report.rejected) {
       const active = run && activeRun(run)
