feat(bench): a standing backlog of fillers in bench:leader

The bench placed its whole backlog within 9 s, so that planning had nothing to search in vain. There are now three waiting jobs a worker and less memory.

--- a/packages/bench/src/leader/world.ts
+++ b/packages/bench/src/leader/world.ts
@@ -22,7 +22,7 @@
 const CANCELLED_EVERY = 20
 
 /** Filling jobs that wait at the start for each worker. */
-const WAITING_JOBS_PER_WORKER = 0.8
+const WAITING_JOBS_PER_WORKER = 3
 
 /** Workers for each filling job and each serving job that is submitted in a second. */
 const WORKERS_PER_NEW_JOB = 24
@@ -34,9 +34,9 @@
 const FILLING_MS = 20_000
 const TAIL_TARGET_MS = 40
 
-const CAPACITY = { cpuMillis: 16_000, memoryMb: 30_000, accelerators: 0 }
+const CAPACITY = { cpuMillis: 16_000, memoryMb: 22_000, accelerators: 0 }
 const SERVING_CLAIM = { cpuMillis: 1_600, memoryMb: 1_000, accelerators: 0 }
-const FILLING_CLAIM = { cpuMillis: 300, memoryMb: 1_000, accelerators: 0 }
+const FILLING_CLAIM = { cpuMillis: 400, memoryMb: 500, accelerators: 0 }
 
 const QUEUE = protocol.workflow.Queue.fromPartial({
   name: 'plans',
