fix(workflow-scheduling): search places for fillers once for each kind and rank

The leader was late under a backlog of fillers. Urgency is worked out only for the steps that it orders, keys of runs once a run.

--- a/packages/workflow-control/src/fillerPacing.ts
+++ b/packages/workflow-control/src/fillerPacing.ts
@@ -25,15 +25,17 @@
   readonly nowMs: () => number
   /** Progress of a run in percent. */
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
-  /** Whether a worker now is a place where a filler of the step works well. */
-  readonly hasGoodPlace: (step: workflowState.StepView) => boolean
 }
 
 export interface FillerPacing {
   /** Learns from a worker's newest list and orders paces. */
   readonly pace: (session: sessions.WorkerSession) => void
   /** Whether a filler that hardly works leaves for a better place that there is; at most one in an interval. */
-  readonly shouldMove: (active: workflowState.ActiveRun, run: protocol.workflow.TaskRun) => boolean
+  readonly shouldMove: (
+    active: workflowState.ActiveRun,
+    run: protocol.workflow.TaskRun,
+    places: scheduling.FillingPlaces,
+  ) => boolean
   /** Forgets a run that ended. */
   readonly forget: (key: string) => void
 }
@@ -87,13 +89,13 @@
       }
       session.pace(orders)
     },
-    shouldMove: (active, run) => {
+    shouldMove: (active, run, places) => {
       const now = nowMs()
       const since = slowSinceMs.get(workflowState.runKey(run))
       if (since === undefined || now - since < SLOW_TO_MOVE_MS) return false
       if (now - movedMs < MOVE_INTERVAL_MS) return false
       const losesLittle = active.step.spec.checkpointing || options.percentOf(run) < LITTLE_PERCENT
-      if (!losesLittle || !options.hasGoodPlace(active.step)) return false
+      if (!losesLittle || !places.hasGoodPlace(active.step)) return false
       movedMs = now
       return true
     },
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -378,11 +378,15 @@
     return true
   }
 
-  const sweepStops = (session: sessions.WorkerSession, load: workflowState.WorkerLoad): void => {
+  const sweepStops = (
+    session: sessions.WorkerSession,
+    load: workflowState.WorkerLoad,
+    places: scheduling.FillingPlaces,
+  ): void => {
     const stops: TaskRun[] = []
     for (const active of load.runs.values()) {
       const obsolete = active.step.job.phase !== 'active'
-      const moves = shouldLeave(session, active) || pacing.shouldMove(active, runOf(active))
+      const moves = shouldLeave(session, active) || pacing.shouldMove(active, runOf(active), places)
       if (obsolete || moves || isStalled(session, active)) stops.push(runOf(active))
     }
     session.stop(stops)
@@ -403,6 +407,13 @@
   const sweep = (): void => {
     if (ctx.leadingTerm() !== term) return
     const now = nowMs()
+    const workers = eligibleWorkers()
+    const places = scheduling.createFillingPlaces({
+      view,
+      workers,
+      disturbance,
+      fillerRank: ranks.rankOf,
+    })
     for (const [key, load] of view.loads) {
       const heardMs = listedMs.get(key) ?? startedMs
       if (now - heardMs > timing.workerLostMs) {
@@ -412,7 +423,7 @@
       }
       const session = sessionOf(key)
       if (session === undefined) continue
-      sweepStops(session, load)
+      sweepStops(session, load, places)
       sweepEvacuated(session, load)
     }
     for (const session of byAgent.values()) barOldRuns(session)
@@ -462,11 +473,6 @@
     activeRun,
     nowMs,
     percentOf: progress.percentOf,
-    hasGoodPlace: (step) =>
-      scheduling.hasGoodPlace(
-        { view, workers: eligibleWorkers(), disturbance, fillerRank: ranks.rankOf },
-        step,
-      ),
   })
 
   const rounds = assignmentRounds.createAssignmentRounds({
--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -125,7 +125,7 @@
     cell.submit('fill', [step({ taskCount: 6, filling: true, image: 'f' })])
     const [ready] = [...cell.state.view.readySteps]
     if (ready === undefined) throw new Error('no ready step')
-    expect(scheduling.hasGoodPlace(cell.input(), ready)).toBe(false)
+    expect(scheduling.createFillingPlaces(cell.input()).hasGoodPlace(ready)).toBe(false)
     expect(cell.plan({ waitedMs: () => waitedMs })).toHaveLength(planned)
   })
 
@@ -176,3 +176,44 @@
     expect(scheduling.fillingSupply(cell.input(), steps)).toBeLessThan(20)
   })
 })
+
+describe('search for places that there are not', () => {
+  const WORKERS = 10
+  const WAITING_JOBS = 40
+
+  /** Workers whose neighbours bear no filler, jobs that wait, and how often a worker was asked what it bears. */
+  const createFullCell = () => {
+    const names = Array.from({ length: WORKERS }, (_, index) => `w${index}`)
+    const cell = createCell(names.map((name) => worker(name)))
+    for (const name of names) {
+      const serving = [{ key: `${name}-s`, image: 'i', tailMs: 49, targetMs: 50 }]
+      cell.disturbance.observe(`${name}@1`, { serving, filling: [] }, 0)
+    }
+    for (let job = 0; job < WAITING_JOBS; job += 1) {
+      cell.submit(`job${job}`, [step({ taskCount: 3, filling: true, image: 'f' })])
+    }
+    const room = vitest.vi.fn(cell.disturbance.room)
+    const input = { ...cell.input(), disturbance: { ...cell.disturbance, room } }
+    return { input, room, steps: [...cell.state.view.readySteps] }
+  }
+
+  it.each<{ name: string; search: (cell: ReturnType<typeof createFullCell>) => void }>([
+    {
+      name: 'guards against a plan that asks every worker for every waiting job',
+      search: ({ input }) => {
+        expect(scheduling.planAssignments(input).assignments).toEqual([])
+      },
+    },
+    {
+      name: 'guards against a sweep that asks every worker for every slow filler',
+      search: ({ input, steps }) => {
+        const places = scheduling.createFillingPlaces(input)
+        for (const slow of steps) expect(places.hasGoodPlace(slow)).toBe(false)
+      },
+    },
+  ])('$name', ({ search }) => {
+    const cell = createFullCell()
+    search(cell)
+    expect(cell.room.mock.calls.length).toBeLessThanOrEqual(WORKERS)
+  })
+})
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -45,6 +45,8 @@
 interface Room {
   readonly worker: PlacementWorker
   readonly identity: protocol.workflow.WorkerIdentity
+  /** `workerKey` of the identity. */
+  readonly key: string
   readonly capacity: protocol.workflow.Resources
   cpuMillis: number
   memoryMb: number
@@ -78,8 +80,21 @@
   run: 0,
 })
 
-const runKeyOf = ({ step, task }: workflowState.ActiveRun): string =>
-  workflowState.runKey({ ...placeOf(step, task), run: task.run })
+interface RunKey {
+  readonly run: number
+  readonly key: string
+}
+
+/** Keys of the current runs, since each plan asks for those of all fillers. */
+const runKeys = new WeakMap<workflowState.TaskView, RunKey>()
+
+const runKeyOf = ({ step, task }: workflowState.ActiveRun): string => {
+  const known = runKeys.get(task)
+  if (known?.run === task.run) return known.key
+  const key = workflowState.runKey({ ...placeOf(step, task), run: task.run })
+  runKeys.set(task, { run: task.run, key })
+  return key
+}
 
 /** Fillers of a worker that its newest list does not show yet. */
 export const unlistedFillers = (
@@ -106,6 +121,7 @@
   return {
     worker,
     identity,
+    key,
     capacity,
     cpuMillis: capacity.cpuMillis - (load?.cpuMillis ?? 0),
     memoryMb: capacity.memoryMb - (load?.memoryMb ?? 0),
@@ -120,6 +136,16 @@
   }
 }
 
+const createRooms = (input: FillingInput): readonly Room[] => {
+  const rooms: Room[] = []
+  for (const worker of input.workers) {
+    if (input.view.evacuated.has(worker.description.failureDomain)) continue
+    const room = createRoom(worker, input)
+    if (room !== undefined) rooms.push(room)
+  }
+  return rooms
+}
+
 const fits = (room: Room, step: workflowState.StepView): boolean => {
   const { requiredLabel, maxPerWorker, filling } = step.spec
   const claim = workflowState.claimOf(step.spec)
@@ -158,26 +184,77 @@
 /** Cost of a worker on which the same task had a bad end; any other worker is tried first. */
 const REPEATED_WORKER_COST = 10
 
+/** Share of full speed at which a filler would work in a room; 0 where it is below `minRate`. */
+type RateIn = (room: Room, minRate: number) => number
+
 /**
- * Share of full speed at which a filler would work: what its neighbours bear of it, and the processors that are left by
- * those that go before it. Fillers that are not in the worker's figures yet take their part of the
- * room.
+ * Rate of the fillers of one step: what their neighbours bear of it, and the processors that are left by those that go
+ * before it. Fillers that are not in the worker's figures yet take their part of the room. What the neighbours bear does
+ * not change during a plan, so it is worked out once for all tasks of the step, and only where processors are left.
  */
-const fillingRate = (
-  room: Room,
+const createFillingRate = (
   step: workflowState.StepView,
   rank: number,
   disturbance: pacing.Disturbance,
-): number => {
+): RateIn => {
   const { cpuMillis } = workflowState.claimOf(step.spec)
-  const key = workflowState.workerKey(room.identity)
-  const bearable = disturbance.room(key, step.spec.image, rank)
-  const takenMillis = room.fillers.reduce(
-    (sum, filler) => (filler.rank <= rank ? sum + filler.cpuMillis : sum),
-    0,
-  )
-  const left = Math.max(0, room.leftCpuMillis - takenMillis) / Math.max(1, cpuMillis)
-  return Math.min(1, bearable / (1 + room.planned), left)
+  const bearableIn = new Map<Room, number>()
+
+  const bearable = (room: Room): number => {
+    const known = bearableIn.get(room)
+    if (known !== undefined) return known
+    const worked = disturbance.room(room.key, step.spec.image, rank)
+    bearableIn.set(room, worked)
+    return worked
+  }
+
+  return (room, minRate) => {
+    let takenMillis = 0
+    for (const filler of room.fillers) if (filler.rank <= rank) takenMillis += filler.cpuMillis
+    const left = Math.max(0, room.leftCpuMillis - takenMillis) / Math.max(1, cpuMillis)
+    if (left < minRate) return 0
+    const rate = Math.min(1, bearable(room) / (1 + room.planned), left)
+    return rate < minRate ? 0 : rate
+  }
+}
+
+/** Remembers for which fillers there was no place, while the places do not get better. */
+interface Shortages {
+  readonly note: (step: workflowState.StepView, rank: number, minRate: number) => void
+  /** Whether a filler like this one, of this rank or one that goes before it, found no place at such a rate. */
+  readonly covers: (step: workflowState.StepView, rank: number, minRate: number) => boolean
+}
+
+/** What decides besides the rank where a filler of a step fits, and how fast it works there. */
+const kindOf = ({ spec, job }: workflowState.StepView): string => {
+  const { cpuMillis, memoryMb, accelerators } = workflowState.claimOf(spec)
+  return JSON.stringify([
+    job.queue.service,
+    spec.image,
+    spec.requiredLabel,
+    cpuMillis,
+    memoryMb,
+    accelerators,
+  ])
+}
+
+const createShortages = (): Shortages => {
+  const lowestRank = new Map<string, number>()
+  const kinds = new Map<workflowState.StepView, string>()
+  const keyOf = (step: workflowState.StepView, minRate: number): string => {
+    const kind = kinds.get(step) ?? kindOf(step)
+    kinds.set(step, kind)
+    return `${minRate} ${kind}`
+  }
+  return {
+    note: (step, rank, minRate) => {
+      // The limits of a step, and of a gang that may be given up again, say nothing about other steps.
+      if (step.spec.maxPerWorker > 0 || step.spec.gang) return
+      const key = keyOf(step, minRate)
+      lowestRank.set(key, Math.min(rank, lowestRank.get(key) ?? rank))
+    },
+    covers: (step, rank, minRate) => rank >= (lowestRank.get(keyOf(step, minRate)) ?? Infinity),
+  }
 }
 
 /**
@@ -211,6 +288,7 @@
   rooms: readonly Room[],
   step: workflowState.StepView,
   limit: number,
+  shortages: Shortages,
 ): Pick<Plan, 'assignments' | 'tasksLookedAt'> => {
   const planned: { readonly assignment: protocol.workflow.Assignment; readonly room: Room }[] = []
   const suitable = rooms.filter(
@@ -223,6 +301,7 @@
   )
   const { filling } = step.spec
   const rank = filling ? input.fillerRank(step) : 0
+  const rateIn = createFillingRate(step, rank, input.disturbance)
   const hasWaited = step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
   let tasksLookedAt = 0
   for (const task of step.tasks) {
@@ -232,18 +311,22 @@
     tasksLookedAt += 1
     // One slow task keeps a step going; more of them would only disturb and slow the fillers that are there.
     const minRate = hasWaited && planned.length === 0 ? 0 : MIN_FILLING_RATE
+    if (filling && shortages.covers(step, rank, minRate)) break
     let best: Room | undefined
     let bestCost = Number.POSITIVE_INFINITY
     for (const room of suitable) {
       if (!fits(room, step)) continue
-      const rate = filling ? fillingRate(room, step, rank, input.disturbance) : 1
+      const rate = filling ? rateIn(room, minRate) : 1
       if (rate < minRate) continue
       const cost = costOf(room, step, input.avoids(place, room.identity.id), racks, rate)
       if (cost >= bestCost) continue
       best = room
       bestCost = cost
     }
-    if (best === undefined) break
+    if (best === undefined) {
+      if (filling) shortages.note(step, rank, minRate)
+      break
+    }
     reserve(best, step, rank)
     racks.add(best.worker.description.rack)
     planned.push({ assignment: { task: place, worker: best.identity }, room: best })
@@ -270,57 +353,65 @@
 export const planAssignments = (input: PlacementInput): Plan => {
   const { view } = input
   if (view.readySteps.size === 0) return { workers: [], assignments: [], tasksLookedAt: 0 }
-  const rooms: Room[] = []
-  for (const worker of input.workers) {
-    const { identity, failureDomain } = worker.description
-    if (identity === undefined || view.evacuated.has(failureDomain)) continue
-    const room = createRoom(worker, input)
-    if (room !== undefined) rooms.push(room)
-  }
+  const rooms = createRooms(input)
   const ordered = [...view.readySteps]
     .map((step) => ({
       step,
       rank: step.spec.filling ? input.fillerRank(step) : undefined,
-      urgency: order.urgencyOf(step, input.expected, input.nowMs),
+      urgency: step.spec.filling ? undefined : order.urgencyOf(step, input.expected, input.nowMs),
     }))
     .sort((a, b) => {
       if (a.rank !== undefined && b.rank !== undefined) return a.rank - b.rank
-      if (a.rank !== undefined || b.rank !== undefined) return a.rank === undefined ? -1 : 1
+      if (a.urgency === undefined || b.urgency === undefined) return a.rank === undefined ? -1 : 1
       return order.compareUrgency(a.urgency, b.urgency)
     })
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
+  const shortages = createShortages()
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
-    const planned = planStep(input, rooms, step, limit)
+    const planned = planStep(input, rooms, step, limit, shortages)
     assignments.push(...planned.assignments)
     tasksLookedAt += planned.tasksLookedAt
   }
   const used = new Set(assignments.map(({ worker }) => worker && workflowState.workerKey(worker)))
-  const workers = rooms
-    .filter(({ identity }) => used.has(workflowState.workerKey(identity)))
-    .map(({ worker }) => worker.description)
+  const workers = rooms.filter(({ key }) => used.has(key)).map(({ worker }) => worker.description)
   return { workers, assignments, tasksLookedAt }
 }
 
-/** Whether one of `workers` is a place where a filler is not left to wait for a better one. */
-export const hasGoodPlace = (input: FillingInput, step: workflowState.StepView): boolean =>
-  bestFillingRate(input, step) >= MIN_FILLING_RATE
+/** Places for fillers at one moment; the view and the disturbance do not change while it is used. */
+export interface FillingPlaces {
+  /** Whether there is a place where a filler of the step is not left to wait for a better one. */
+  readonly hasGoodPlace: (step: workflowState.StepView) => boolean
+}
+
+export const createFillingPlaces = (input: FillingInput): FillingPlaces => {
+  const shortages = createShortages()
+  let rooms: readonly Room[] | undefined
+  return {
+    hasGoodPlace: (step) => {
+      const rank = input.fillerRank(step)
+      if (shortages.covers(step, rank, MIN_FILLING_RATE)) return false
+      rooms ??= createRooms(input)
+      const rateIn = createFillingRate(step, rank, input.disturbance)
+      const isGood = rooms.some(
+        (room) => isSuitable(room, step) && rateIn(room, MIN_FILLING_RATE) > 0,
+      )
+      if (!isGood) shortages.note(step, rank, MIN_FILLING_RATE)
+      return isGood
+    },
+  }
+}
+
+const isSuitable = (room: Room, step: workflowState.StepView): boolean =>
+  room.worker.description.service === step.job.queue.service && fits(room, step)
 
 /** Share of full speed that a filler could reach on the best of `workers`. */
 export const bestFillingRate = (input: FillingInput, step: workflowState.StepView): number => {
-  const rank = input.fillerRank(step)
-  let best = 0
-  for (const worker of input.workers) {
-    const { identity, failureDomain, service } = worker.description
-    if (identity === undefined || service !== step.job.queue.service) continue
-    if (input.view.evacuated.has(failureDomain)) continue
-    const room = createRoom(worker, input)
-    if (room === undefined || !fits(room, step)) continue
-    best = Math.max(best, fillingRate(room, step, rank, input.disturbance))
-  }
-  return best
+  const rateIn = createFillingRate(step, input.fillerRank(step), input.disturbance)
+  const suitable = createRooms(input).filter((room) => isSuitable(room, step))
+  return Math.max(0, ...suitable.map((room) => rateIn(room, 0)))
 }
 
 /** Tasks of the steps, which fill, that could work at full speed on the workers if nothing else filled there. */
