fix(workflow-control): confirm a repeated configuration without its document

Callers of a late leader repeat a configuration every 0.2 to 0.9 s, and each repetition went through the log and to every replica with its whole document, 200 kB and more, though the state machine ignores a version that is not newer. A version in force, or one whose commit is under way, is now confirmed by a command without a body. It is acknowledged as before only after a commit that began after the call, and only if the version is in force then; otherwise, as when the first commit was refused, the document is proposed.

--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -63,7 +63,7 @@
     ctx.view.configuration && workflowState.findQueue(ctx.view.configuration, host, path)
 
   /** Commits a command and calls `onChange`. */
-  const commit = async (body: context.CommandBody): Promise<CallReply> => {
+  const commit = async (body: context.CommandBody | undefined): Promise<CallReply> => {
     const result = await ctx.propose(body)
     if (result.isErr()) return proposeFailure(result.error)
     onChange()
@@ -131,11 +131,36 @@
     return { reply: reply(CallOutcome.OK), pending }
   }
 
+  /** Newest version whose commit is under way. */
+  let proposedVersion = -1
+
+  const isInForce = ({ version }: protocol.workflow.QueueConfiguration): boolean =>
+    version <= (ctx.view.configuration?.version ?? -1)
+
+  /**
+   * Commits a configuration. Callers repeat it until it is acknowledged, and it has up to some hundred kilobytes; the
+   * state machine ignores a version that is not newer, so a command without a body confirms that as well.
+   */
+  const commitConfiguration = async (
+    configuration: protocol.workflow.QueueConfiguration,
+  ): Promise<CallReply> => {
+    const { version } = configuration
+    if (isInForce(configuration) || version <= proposedVersion) {
+      const confirmed = await commit(undefined)
+      // The commit under way may have been refused.
+      if (confirmed.outcome !== CallOutcome.OK || isInForce(configuration)) return confirmed
+    }
+    proposedVersion = Math.max(proposedVersion, version)
+    const answer = await commit({ $case: 'configure', value: configuration })
+    if (proposedVersion === version) proposedVersion = -1
+    return answer
+  }
+
   const configure: CallHandlers['configure'] = async (configuration) => {
     const checked = workflowState.checkConfiguration(configuration)
     if (checked.isErr()) return reply(CallOutcome.INVALID, { detail: checked.error })
     if (ctx.leadingTerm() === undefined) return notLeading()
-    const answer = await commit({ $case: 'configure', value: configuration })
+    const answer = await commitConfiguration(configuration)
     const inForce = ctx.view.configuration?.version
     logger.info('configuration changed', {
       version: configuration.version,
