fix(workflow-control): a leader whose lease is void for a moment keeps new agents

Agents were sent away by the leader itself: a new stream whose first report came while the lease was void (after a suspension, or before a late leader's heartbeats are answered) was redirected without a hint, and the agent went round the other replicas, which named the same leader again.

Change: such a report waits up to 0.7 s for the lease if this replica's role is leader; then the agent is redirected as before. A replica that does not lead redirects at once.

Ruled out: reports on a stream that a newer one has replaced; gRPC ends them, the guard for it passed before.

--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -8,6 +8,14 @@
 import type * as leaderTerm from './leaderTerm.js'
 import type * as membership from './membership.js'
 
+/**
+ * Longest wait for a valid lease before a new stream is sent elsewhere, in milliseconds: a lease is void for up to 0.55 s
+ * after a suspension, and a heartbeat then confirms it.
+ */
+const LEASE_WAIT_MS = 700
+
+const LEASE_CHECK_INTERVAL_MS = 50
+
 export interface ServerParts {
   readonly calls: calls.CallHandlers
   readonly membership: membership.GroupMembership
@@ -43,8 +51,11 @@
 const serveAgent = (ctx: context.ControlContext, parts: ServerParts, call: AttachCall): void => {
   let session: ReturnType<leaderTerm.LeaderTerm['attach']> | undefined
   let attachedTo: leaderTerm.LeaderTerm | undefined
+  let waitSinceMs: number | undefined
+  let leaseTimer: NodeJS.Timeout | undefined
 
   const close = (): void => {
+    clearTimeout(leaseTimer)
     if (session !== undefined) attachedTo?.detach(session)
     session = undefined
     call.end()
@@ -66,13 +77,24 @@
     close()
   }
 
-  // Tells the agent that the stream was accepted before the first report is handled.
-  call.sendMetadata(new grpc.Metadata())
-  call.on('data', (report: protocol.workflow.WorkerReport) => {
+  /** Whether this replica leads but for a lease that may be confirmed in a moment. */
+  const isLeaseDue = (): boolean => {
+    if (ctx.replica.leadership().role !== 'leader') return false
+    waitSinceMs ??= ctx.nowMs()
+    return ctx.nowMs() - waitSinceMs < LEASE_WAIT_MS
+  }
+
+  const handle = (report: protocol.workflow.WorkerReport): void => {
+    clearTimeout(leaseTimer)
     const term = parts.term()
     // The lease may be void for a moment; the agent repeats what was not answered.
     if (term === undefined && session !== undefined) return
-    if (term === undefined || report.cell !== ctx.options.cell) {
+    const isOurs = report.cell === ctx.options.cell
+    if (term === undefined && isOurs && isLeaseDue()) {
+      leaseTimer = setTimeout(handle, LEASE_CHECK_INTERVAL_MS, report)
+      return
+    }
+    if (term === undefined || !isOurs) {
       redirect()
       return
     }
@@ -88,7 +110,11 @@
       },
     })
     term.handleReport(session, report)
-  })
+  }
+
+  // Tells the agent that the stream was accepted before the first report is handled.
+  call.sendMetadata(new grpc.Metadata())
+  call.on('data', handle)
   call.on('end', close)
   call.on('error', close)
   call.on('cancelled', close)
