fix(workflow-agent): ask replicas again on the connection on which they just answered

Ruled out: connections to every replica that are kept for good, since a silent one would first have to be found out when it is needed.

--- a/packages/workflow-agent/__tests__/leaderStream.spec.ts
+++ b/packages/workflow-agent/__tests__/leaderStream.spec.ts
@@ -138,6 +138,17 @@
     expect(await timeUntil(() => fences.length > heard, 10_000)).toBeLessThan(ATTACH_BOUND_MS)
   })
 
+  it('guards against a new connection for each question while the group elects a leader', async () => {
+    const next = await startReplica({ leading: false })
+    const other = await startReplica({ leading: false })
+    const { timeToAttach } = startAgent(next, other)
+    await timers.setTimeout(2 * ELECTION_MS)
+    next.change({ leading: true })
+    expect(await timeToAttach()).toBeLessThan(LEAVE_BOUND_MS)
+    expect(next.connections()).toBe(1)
+    expect(other.connections()).toBe(1)
+  })
+
   it('guards against leaving a leader that answers again after a stall of its loop', async () => {
     const leader = await startReplica()
     const follower = await startReplica({ leading: false, leader: leader.address })
--- a/packages/workflow-agent/src/leaderStream.ts
+++ b/packages/workflow-agent/src/leaderStream.ts
@@ -2,12 +2,12 @@
  * Stream to the leader. A stream that goes silent, or an attempt without an answer, stays open while other replicas are
  * tried; the first one that answers as the leader is used, so that a late leader is not given up for being late.
  */
-import * as grpc from '@grpc/grpc-js'
-import * as peerTransport from '@ebonyweir/peer-transport'
-import * as protocol from '@ebonyweir/protocol'
+import type * as grpc from '@grpc/grpc-js'
+import type * as protocol from '@ebonyweir/protocol'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
 import * as workflowClient from '@ebonyweir/workflow-client'
 import * as attachTraces from './attachTrace.js'
+import * as clientPools from './clientPool.js'
 
 /** Time without orders after which other replicas are tried, in milliseconds; each report is answered at once. */
 const SILENCE_MS = 1_200
@@ -104,6 +104,7 @@
   const random = options.random ?? Math.random
   const book = workflowClient.createAddressBook(options.seeds, nowMs)
   const trace = attachTraces.createAttachTrace({ logger, nowMs, metrics: options.metrics })
+  const clients = clientPools.createClientPool()
   const patienceMs = new Map<string, number>()
   /** Stream whose orders are followed; it may be silent. */
   let current: Stream | undefined
@@ -144,28 +145,29 @@
     schedule(ARRIVAL_SPREAD_MS * random())
   }
 
-  const release = (stream: Stream): void => {
+  const release = (stream: Stream, ending?: Ending): void => {
     stream.closed = true
     stream.call.cancel()
-    stream.client.close()
+    if (ending === 'redirected') clients.keep(stream.address, stream.client)
+    else stream.client.close()
   }
 
-  const dropCurrent = (why: string): void => {
+  const dropCurrent = (why: string, ending?: Ending): void => {
     if (current === undefined) return
-    release(current)
+    release(current, ending)
     if (!isSilent) trace.noteDetached(current.address, why)
     current = undefined
     isSilent = false
   }
 
   const dropPending = (stream: Stream, ending: Ending, why: string): void => {
-    release(stream)
+    release(stream, ending)
     pending = pending.filter((other) => other !== stream)
     trace.noteEnded(stream, ending, why)
   }
 
   const drop = (stream: Stream, ending: Ending, why: string): void => {
-    if (stream === current) dropCurrent(why)
+    if (stream === current) dropCurrent(why, ending)
     else dropPending(stream, ending, why)
   }
 
@@ -253,9 +255,7 @@
   }
 
   const open = (address: string): void => {
-    const credentials = grpc.credentials.createInsecure()
-    const channelOptions = peerTransport.CHANNEL_OPTIONS
-    const client = new protocol.workflow.WorkflowClient(address, credentials, channelOptions)
+    const client = clients.take(address)
     const startedMs = nowMs()
     const stream: Stream = {
       address,
@@ -356,6 +356,7 @@
       clearInterval(checkTimer)
       for (const stream of pending) dropPending(stream, 'superseded', 'stopping')
       dropCurrent('stopping')
+      clients.close()
     },
   }
 }
