fix(workflow-agent): start no run whose rejection is on its way to the leader

Callers saw a task run twice: an order that the leader repeated crossed the rejection of the same run. The agent had forgotten the run with its rejection, gave the order, and the worker, which had room by then, started it. The leader committed the rejection and assigned the next run elsewhere.

Cause: the agent took an order as new although the leader had not processed its rejection. The leader leaves out runs whose end it records, but cannot know of a rejection that it has not received.

The agent ignores orders for runs whose rejection is not acknowledged. The leader repeats the order when the rejection has no effect, on the next stream or after a commit that was refused.

--- /dev/null
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -0,0 +1,137 @@
+import * as timers from 'node:timers/promises'
+import * as grpc from '@grpc/grpc-js'
+import * as protocol from '@ebonyweir/protocol'
+import * as telemetry from '@ebonyweir/telemetry/logger'
+import * as vitest from 'vitest'
+import type * as runners from '../src/runner.js'
+import * as workerAgents from '../src/workerAgent.js'
+
+const { afterEach, describe, expect, it } = vitest
+
+const RUN: protocol.workflow.TaskRun = { job: 'j', occurrence: 0, step: 0, index: 0, run: 1 }
+const LEASE_MS = 6_000
+
+/** Longer than the pauses of the agent between two calls, in milliseconds. */
+const QUIET_MS = 300
+
+type AttachCall = grpc.ServerDuplexStream<
+  protocol.workflow.WorkerReport,
+  protocol.workflow.WorkerOrders
+>
+
+/** Leader that extends the lease with each report and sends what the test tells it. */
+const createLeader = async () => {
+  const reports: protocol.workflow.WorkerReport[] = []
+  let stream: AttachCall | undefined
+  const send = (orders: Partial<protocol.workflow.WorkerOrders>): void => {
+    stream?.write({
+      ...protocol.workflow.WorkerOrders.fromPartial({}),
+      fence: 3,
+      leading: true,
+      worker: reports.at(-1)?.worker?.identity,
+      ...orders,
+    })
+  }
+  const server = new grpc.Server()
+  server.addService(protocol.workflow.WorkflowService, {
+    attach: (call: AttachCall) => {
+      stream = call
+      call.on('data', (report: protocol.workflow.WorkerReport) => {
+        reports.push(report)
+        send({ leaseUntilMs: report.sample > 0 ? report.clockMs + LEASE_MS : 0 })
+      })
+    },
+  })
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync('127.0.0.1:0', grpc.ServerCredentials.createInsecure(), (error, bound) => {
+      if (error === null) resolve(bound)
+      else reject(error)
+    })
+  })
+  return {
+    address: `127.0.0.1:${port}`,
+    reports,
+    start: (order: Partial<protocol.workflow.StartOrder>): void => {
+      const given = protocol.workflow.StartOrder.fromPartial({ pacePercent: 100 })
+      send({ starts: [{ ...given, run: RUN, ...order }] })
+    },
+    /** Says that every report so far was processed. */
+    acknowledge: (): void => {
+      send({ sequence: reports.at(-1)?.sequence ?? 0 })
+    },
+    close: (): void => {
+      server.forceShutdown()
+    },
+  }
+}
+
+/** Worker whose answers to starts are given in advance; the last one is repeated. */
+const createWorker = (answers: readonly runners.StartAnswer[]) => {
+  const paces: number[] = []
+  let startCalls = 0
+  const runner: runners.Runner = {
+    start: () => {
+      startCalls += 1
+      const answer = answers[Math.min(startCalls, answers.length) - 1]
+      return Promise.resolve(answer ?? { kind: 'unanswered' })
+    },
+    stop: () => Promise.resolve('done'),
+    list: async (_, { waitMs }) => {
+      await timers.setTimeout(Math.min(waitMs, 20))
+      const clockMs = Math.round(performance.now())
+      return { kind: 'list', list: { bornMs: 1, clockMs, running: [], ended: [] } }
+    },
+    pace: (_identity, _run, percent) => {
+      paces.push(percent)
+      return Promise.resolve('done')
+    },
+  }
+  return { runner, paces, startCalls: () => startCalls }
+}
+
+const closers: (() => void)[] = []
+
+afterEach(() => {
+  for (const close of closers.splice(0)) close()
+})
+
+const createSubject = async (answers: readonly runners.StartAnswer[]) => {
+  const leader = await createLeader()
+  const worker = createWorker(answers)
+  const agent = workerAgents.createWorkerAgent({
+    cell: 'test',
+    name: 'a',
+    seeds: () => [leader.address],
+    runner: worker.runner,
+    logger: telemetry.createSilentLogger(),
+  })
+  closers.push(agent.stop, leader.close)
+  agent.start()
+  const description = protocol.workflow.WorkerDescription.fromPartial({ service: 'desk' })
+  agent.announce({
+    worker: { ...description, identity: { id: 'w', bornMs: 1 } },
+    sequence: 1,
+    draining: false,
+    drainRemainingMs: 0,
+  })
+  await vitest.vi.waitUntil(() => leader.reports.some(({ sample }) => sample > 1))
+  return { leader, worker }
+}
+
+describe('an agent of a worker', () => {
+  it('guards against a start of a run whose rejection is still on its way to the leader', async () => {
+    const { leader, worker } = await createSubject([
+      { kind: 'refused', reason: 'no-room' },
+      { kind: 'started' },
+    ])
+    leader.start({})
+    await vitest.vi.waitUntil(() => leader.reports.some(({ rejected }) => rejected.length > 0))
+    leader.start({ repeated: true })
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(1)
+    // A leader that could not commit the rejection gives the order again.
+    leader.acknowledge()
+    leader.start({ repeated: true })
+    await vitest.vi.waitUntil(() => worker.startCalls() === 2)
+  })
+})
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -124,6 +124,18 @@
     }
   }
 
+  /**
+   * Whether a rejection of the run is on its way to the leader. An order that was sent before it arrived would start the
+   * run here while its next run is assigned.
+   */
+  const isRejecting = ({ run }: protocol.workflow.StartOrder): boolean =>
+    run !== undefined &&
+    rejections.some(
+      ({ rejection }) =>
+        rejection.run !== undefined &&
+        workflowState.runKey(rejection.run) === workflowState.runKey(run),
+    )
+
   const onOrders = (orders: protocol.workflow.WorkerOrders): void => {
     if (fence !== undefined && orders.fence < fence) {
       stream.restart(`its fence ${orders.fence} is older than ${fence}`)
@@ -139,7 +151,7 @@
     if (workflowState.workerKey(worker) !== workflowState.workerKey(own)) return
     life.leaseUntilMs = Math.max(life.leaseUntilMs, orders.leaseUntilMs)
     life.acknowledgedEnd = Math.max(life.acknowledgedEnd, orders.acknowledgedEnd)
-    for (const order of orders.starts) life.table.start(order)
+    for (const order of orders.starts) if (!isRejecting(order)) life.table.start(order)
     for (const run of orders.stops) life.table.stop(run)
     for (const { run, percent } of orders.paces) {
       const entry = run && life.table.entryOf(run)
