fix(workflow-agent): set the pace of a filler that an earlier agent process may have paced

Callers saw fillers that stood still or worked slowly after an agent was killed: they kept the pace that the killed agent had set, 0 percent under an alarm, while the new one reported full pace and the leader ordered nothing.

Cause: the confirmed pace was known to one agent process only, and the worker's lists do not show it. The successor assumed full pace and skipped an order of full pace as done.

The agent sets the pace once for each filler whose order is repeated; a first delivery sends no more calls than before.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -134,4 +134,28 @@
     leader.start({ repeated: true })
     await vitest.vi.waitUntil(() => worker.startCalls() === 2)
   })
+
+  it.each([
+    {
+      name: 'guards against a filler that keeps the pace that an agent before set',
+      order: { filling: true, repeated: true },
+      paces: [100],
+    },
+    {
+      name: 'sets no pace of a filler that starts at its full pace',
+      order: { filling: true },
+      paces: [],
+    },
+    {
+      name: 'sets no pace of a task that does not fill',
+      order: { repeated: true },
+      paces: [],
+    },
+  ])('$name', async ({ order, paces }) => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    leader.start(order)
+    await vitest.vi.waitUntil(() => worker.startCalls() === 1)
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.paces).toEqual(paces)
+  })
 })
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -19,8 +19,10 @@
 export interface RunEntry {
   readonly order: protocol.workflow.StartOrder
   readonly run: TaskRun
-  /** Pace that the worker confirmed, in percent. */
+  /** Pace that the worker confirmed, or that it is assumed to have, in percent. */
   pacePercent: number
+  /** False for a run that an agent before this one may have paced: the worker's lists do not show the pace. */
+  isPaceKnown: boolean
   /** Pace that the leader ordered, in percent. */
   orderedPercent: number
   stopRequested: boolean
@@ -194,6 +196,7 @@
         order,
         run,
         pacePercent: FULL_PERCENT,
+        isPaceKnown: !order.repeated,
         orderedPercent: order.pacePercent,
         stopRequested: false,
         started: false,
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -173,10 +173,12 @@
 
   const setPace = async (current: Life, entry: runTables.RunEntry): Promise<void> => {
     const percent = current.alarm.raised ? 0 : entry.orderedPercent
-    if (!entry.order.filling || percent === entry.pacePercent) return
+    if (!entry.order.filling || (entry.isPaceKnown && percent === entry.pacePercent)) return
     const { identity } = current.announcement.worker
     const answer = await runner.pace(identity, entry.run, percent, fence ?? 0)
-    if (answer === 'done') entry.pacePercent = percent
+    if (answer !== 'done') return
+    entry.pacePercent = percent
+    entry.isPaceKnown = true
   }
 
   /** Carries the ordered paces out; pauses every filler while a target is missed for long. */
