--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -127,6 +127,18 @@
     }
   }
 
+  /**
+   * Whether a rejection of the run is on its way to the leader. An order that was sent before it arrived would start the
+   * run here while its next run is assigned.
+   */
+  const isRejecting = ({ run }: protocol.workflow.StartOrder): boolean =>
+    run !== undefined &&
+    rejections.some(
+      ({ rejection }) =>
+        rejection.run !== undefined &&
+        workflowState.runKey(rejection.run) === workflowState.runKey(run),
+    )
+
   const onOrders = (orders: protocol.workflow.WorkerOrders): void => {
     if (fence !== undefined && orders.fence < fence) {
       stream.restart(`its fence ${orders.fence} is older than ${fence}`)
@@ -142,7 +154,7 @@
     if (workflowState.workerKey(worker) !== workflowState.workerKey(own)) return
     life.leaseUntilMs = Math.max(life.leaseUntilMs, orders.leaseUntilMs)
     life.acknowledgedEnd = Math.max(life.acknowledgedEnd, orders.acknowledgedEnd)
-    for (const order of orders.starts) life.table.start(order)
+    for (const order of orders.starts) if (!isRejecting(order)) life.table.start(order)
     for (const run of orders.stops) life.table.stop(run)
     for (const { run, percent } of orders.paces) {
       const entry = run && life.table.entryOf(run)
@@ -165,10 +177,12 @@
 
   const setPace = async (current: Life, entry: runTables.RunEntry): Promise<void> => {
     const percent = current.alarm.raised ? 0 : entry.orderedPercent
-    if (!entry.order.filling || percent === entry.pacePercent) return
+    if (!entry.order.filling || (entry.isPaceKnown && percent === entry.pacePercent)) return
     const { identity } = current.announcement.worker
     const answer = await runner.pace(identity, entry.run, percent, fence ?? 0)
-    if (answer === 'done') entry.pacePercent = percent
+    if (answer !== 'done') return
+    entry.pacePercent = percent
+    entry.isPaceKnown = true
   }
 
   /** Carries the ordered paces out; pauses every filler while a target is missed for long. */
