fix(workflow-control): pause between planning rounds in proportion to their length

A round is now followed by a pause of four times its planning time, at most 400 ms (a process that was stopped in a round must not pause for the length of the stop), unless it was full. Serving tasks do not wait for the pause of the fillers: a round of serving steps alone runs meanwhile, with a pause of its own. A round that was put off runs at the end of the pause by itself.

The choice within a round is the same; fillers are placed up to 400 ms later while rounds are long.

--- /dev/null
+++ b/packages/workflow-control/__tests__/assignmentRounds.spec.ts
@@ -0,0 +1,126 @@
+import * as protocol from '@ebonyweir/protocol'
+import * as scheduling from '@ebonyweir/workflow-scheduling'
+import * as workflowState from '@ebonyweir/workflow-state'
+import * as telemetry from '@ebonyweir/telemetry/logger'
+import * as results from 'ts-results-es'
+import * as vitest from 'vitest'
+import * as assignmentRounds from '../src/assignmentRounds.js'
+import type * as context from '../src/context.js'
+import * as workMeter from '../src/workMeter.js'
+
+const { afterEach, beforeEach, describe, expect, it } = vitest
+
+const TERM = 1
+const ROUND_MS = 30
+const SPAN_MS = 2_000
+
+const WORKER: protocol.workflow.WorkerDescription = {
+  identity: { id: 'w', bornMs: 1, agent: 'a' },
+  service: 'desk',
+  failureDomain: 'rennes',
+  rack: 'r1',
+  labels: [],
+  capacity: { cpuMillis: 4_000, memoryMb: 100, accelerators: 0 },
+}
+
+beforeEach(() => {
+  vitest.vi.useFakeTimers()
+})
+
+afterEach(() => {
+  vitest.vi.useRealTimers()
+})
+
+/** Rounds that each take `roundMs` on the clock of the loop, and a filler that fits nowhere. */
+const createCell = (roundMs: number) => {
+  const state = workflowState.createWorkflowState()
+  let blockedMs = 0
+  const nowMs = (): number => performance.now() + blockedMs
+  const work = workMeter.createWorkMeter(nowMs)
+  const ctx: context.ControlContext = {
+    options: { logger: telemetry.createSilentLogger() } as context.ControlContext['options'],
+    replica: {} as context.ControlContext['replica'],
+    view: state.view,
+    nowMs,
+    leadingTerm: () => TERM,
+    propose: (body) => Promise.resolve(results.Ok(state.apply({ nowMs: 0, body }))),
+    work,
+    hint: () => ({ leader: '', members: [] }),
+  }
+  const rounds = assignmentRounds.createAssignmentRounds({
+    ctx,
+    term: TERM,
+    expected: scheduling.createDurations(),
+    disturbance: scheduling.createDisturbance(),
+    eligibleWorkers: () => {
+      blockedMs += roundMs
+      return [{ description: WORKER, badEnds: 0 }]
+    },
+    fillerRank: () => 0,
+    avoids: () => false,
+    start: () => undefined,
+  })
+  const submit = (id: string, memoryMb: number, filling: boolean): void => {
+    const claim = { cpuMillis: 1_000, memoryMb, accelerators: 0 }
+    const step = protocol.workflow.Step.create({ taskCount: 1, filling, claim })
+    const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps: [step] }
+    const queue = protocol.workflow.Queue.fromPartial({ service: 'desk', maxAttempts: 3 })
+    state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue } } })
+    rounds.dispatch()
+  }
+  submit('filler', 1_000, true)
+  return {
+    rounds,
+    submit,
+    work,
+    isAssigned: (id: string) =>
+      state.view.jobs.get(id)?.occurrences.get(0)?.steps[0]?.assignedCount === 1,
+    elapsedMs: nowMs,
+  }
+}
+
+describe('rounds under a backlog', () => {
+  it.each([
+    { name: 'fillers that find no place', filling: true },
+    { name: 'serving tasks that find no place', filling: false },
+  ])('guards against planning that takes most of the loop for $name', async ({ filling }) => {
+    const { rounds, submit, work, elapsedMs } = createCell(ROUND_MS)
+    submit('other', 1_000, filling)
+    const startedMs = elapsedMs()
+    for (let passedMs = 0; passedMs < SPAN_MS; passedMs += 10) {
+      rounds.dispatch()
+      await vitest.vi.advanceTimersByTimeAsync(10)
+    }
+    const share = work.totals().spentMs.plan / (elapsedMs() - startedMs)
+    expect(share).toBeGreaterThan(0.05)
+    expect(share).toBeLessThan(0.45)
+    rounds.stop()
+  })
+
+  it('guards against a new serving task that waits for the pause of the fillers', async () => {
+    const { rounds, submit, isAssigned } = createCell(ROUND_MS)
+    await vitest.vi.advanceTimersByTimeAsync(20)
+    submit('serving', 10, false)
+    await vitest.vi.advanceTimersByTimeAsync(10)
+    expect(isAssigned('serving')).toBe(true)
+    rounds.stop()
+  })
+
+  it('guards against a filler that is not planned after the pause unless something else happens', async () => {
+    const { rounds, submit, isAssigned } = createCell(ROUND_MS)
+    await vitest.vi.advanceTimersByTimeAsync(20)
+    submit('small', 10, true)
+    await vitest.vi.advanceTimersByTimeAsync(200)
+    expect(isAssigned('small')).toBe(true)
+    rounds.stop()
+  })
+
+  it('guards against a long stop of the process in a round that counts as its length', async () => {
+    const { rounds, submit, isAssigned } = createCell(10_000)
+    await vitest.vi.advanceTimersByTimeAsync(20)
+    submit('small', 10, true)
+    await vitest.vi.advanceTimersByTimeAsync(500)
+    expect(isAssigned('small')).toBe(true)
+    rounds.stop()
+  })
+})
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -11,6 +11,15 @@
 /** Pause that collects what happens together into one round of assignments, in milliseconds. */
 const DISPATCH_DELAY_MS = 6
 
+/** Pause after a round, in lengths of that round: rounds of one scope then take at most about a fifth of the loop. */
+const PAUSE_FACTOR = 4
+
+/** Longest pause, in milliseconds: the interval of the workers' lists, on which the places of fillers depend. */
+const MAX_PAUSE_MS = 400
+
+/** Steps of one round. Serving tasks do not wait for the pause that the fillers' search needs. */
+type Scope = 'all' | 'serving'
+
 export interface AssignmentRoundsOptions {
   readonly ctx: context.ControlContext
   readonly term: number
@@ -35,6 +44,9 @@
   const { view, nowMs } = ctx
   const readySinceMs = new WeakMap<workflowState.StepView, number>()
   let timer: NodeJS.Timeout | undefined
+  /** Runs at the end of a pause. */
+  let pauseTimer: NodeJS.Timeout | undefined
+  const pausedUntilMs: Record<Scope, number> = { all: 0, serving: 0 }
   let planning = false
   let planAgain = false
   let stopped = false
@@ -46,11 +58,29 @@
     return now - since
   }
 
-  const planRound = async (): Promise<void> => {
+  const hasServing = (): boolean => {
+    for (const { spec } of view.readySteps) if (!spec.filling) return true
+    return false
+  }
+
+  /** Sets the pause of a scope after a round that took the planning time since `beforeMs`. */
+  const pauseAfter = (scope: Scope, beforeMs: number): void => {
+    const spentMs = ctx.work.totals().spentMs.plan - beforeMs
+    pausedUntilMs[scope] = nowMs() + Math.min(MAX_PAUSE_MS, PAUSE_FACTOR * spentMs)
+  }
+
+  const resumeIn = (waitMs: number): void => {
+    clearTimeout(pauseTimer)
+    pauseTimer = setTimeout(plan, Math.ceil(waitMs))
+  }
+
+  const planRound = async (scope: Scope): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
+    const beforeMs = ctx.work.totals().spentMs.plan
     const plan = ctx.work.measure('plan', () =>
       scheduling.planAssignments({
         view,
+        servingOnly: scope === 'serving',
         workers: options.eligibleWorkers(),
         expected,
         nowMs: Date.now(),
@@ -61,6 +91,8 @@
         avoids: options.avoids,
       }),
     )
+    // A full round leaves work that another one can place.
+    if (plan.assignments.length < MAX_ASSIGNMENTS_PER_ROUND) pauseAfter(scope, beforeMs)
     ctx.work.count('rounds')
     ctx.work.count('tasksLookedAt', plan.tasksLookedAt)
     if (plan.assignments.length === 0) return
@@ -78,15 +110,28 @@
   }
 
   const plan = (): void => {
-    timer = undefined
     if (stopped) return
     if (planning) {
       planAgain = true
       return
     }
+    const now = nowMs()
+    const waitMs = pausedUntilMs.all - now
+    if (waitMs > 0 && !hasServing()) {
+      resumeIn(waitMs)
+      return
+    }
+    const servingWaitMs = Math.min(waitMs, pausedUntilMs.serving - now)
+    if (servingWaitMs > 0) {
+      resumeIn(servingWaitMs)
+      return
+    }
+    const scope = waitMs > 0 ? 'serving' : 'all'
     planning = true
-    void planRound().finally(() => {
+    void planRound(scope).finally(() => {
       planning = false
+      if (stopped) return
+      if (scope === 'serving') resumeIn(pausedUntilMs.all - nowMs())
       if (!planAgain) return
       planAgain = false
       dispatch()
@@ -95,7 +140,10 @@
 
   const dispatch = (): void => {
     if (stopped || view.readySteps.size === 0) return
-    timer ??= setTimeout(plan, DISPATCH_DELAY_MS)
+    timer ??= setTimeout(() => {
+      timer = undefined
+      plan()
+    }, DISPATCH_DELAY_MS)
   }
 
   return {
@@ -103,6 +151,7 @@
     stop: () => {
       stopped = true
       clearTimeout(timer)
+      clearTimeout(pauseTimer)
     },
   }
 }
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -14,6 +14,8 @@
 
 export interface PlacementInput {
   readonly view: workflowState.WorkflowView
+  /** Leaves the steps out that fill. @default false */
+  readonly servingOnly?: boolean
   readonly workers: readonly PlacementWorker[]
   readonly expected: durations.Durations
   /** Time of day at the leader, in milliseconds. */
@@ -355,6 +357,7 @@
   if (view.readySteps.size === 0) return { workers: [], assignments: [], tasksLookedAt: 0 }
   const rooms = createRooms(input)
   const ordered = [...view.readySteps]
+    .filter(({ spec }) => input.servingOnly !== true || !spec.filling)
     .map((step) => ({
       step,
       rank: step.spec.filling ? input.fillerRank(step) : undefined,
