fix(workflow-control): keep an end that is in hand when its worker counts as lost

What callers saw: tasks whose run had ended ran again. A leader that declared a worker lost, or was told by its next incarnation that a run was barred, recorded a loss for runs whose end the worker had already listed: an end whose commit was open or had failed. With the loss first, a completed task was assigned again and a failure was not counted.

Cause: `declareLost` and `endOfOldIncarnation` looked at assignments only, while `endIntake` held the end. An end that the worker listed says more than its silence. Its commit is tried again without a list, since a worker that is gone lists nothing; orders leave such runs out as well. Open ends are keyed by the number under which they are listed, as one run may be listed under two numbers.

--- a/packages/workflow-control/__tests__/endIntake.spec.ts
+++ b/packages/workflow-control/__tests__/endIntake.spec.ts
@@ -156,6 +156,17 @@
   })
 })
 
+describe('a run that is listed under two numbers', () => {
+  it('guards against a second number that is never acknowledged', async () => {
+    const agent = await startTasks(1)
+    agent.report({ ended: [completed(1), completed(2, 'j.0.0.0#1')] })
+    await settle()
+    harness.held[0]?.commit()
+    await settle()
+    expect(acknowledgedBy(agent)).toBe(2)
+  })
+})
+
 describe('ends whose commit is tried again', () => {
   it('guards against a failure that counts as often as its commit is tried', async () => {
     const agent = await startTasks(1)
@@ -235,6 +246,76 @@
   })
 })
 
+describe('orders beside ends in hand', () => {
+  it('guards against a start order to a new session for a run whose end is being committed', async () => {
+    await startTasks(2)
+    const back = harness.attach('w')
+    back.report({ ended: [completed(1)] })
+    await settle()
+    expect(back.starts()).toEqual(['j.0.0.1#1'])
+    harness.held[0]?.fail()
+    const again = harness.attach('w')
+    again.report({ ended: [completed(1)] })
+    await settle()
+    expect(again.starts()).toEqual(['j.0.0.1#1'])
+  })
+})
+
+describe('ends in hand when their worker counts as lost', () => {
+  const kindsProposed = () =>
+    harness.held.map(({ body }) =>
+      body?.$case === 'ends' ? body.value.ends.map(({ kind }) => kind) : [],
+    )
+
+  it.each([
+    { kind: EndKind.COMPLETED, phase: 'completed', failures: 0 },
+    { kind: EndKind.FAILED, phase: 'waiting', failures: 1 },
+  ])(
+    'guards against a loss in place of an end $kind whose commit failed',
+    async ({ kind, phase, failures }) => {
+      const agent = await startTasks(2)
+      agent.report({ ended: [[1, 'j.0.0.0#1', kind]] })
+      await settle()
+      harness.held[0]?.fail()
+      await harness.pass(harnesses.LEASE_MS + 1_500)
+      expect(kindsProposed().slice(1).sort()).toEqual([[kind], [EndKind.LOST]].sort())
+      harness.control.holds = false
+      for (const { commit } of harness.held) commit()
+      await settle()
+      expect(harness.task('j.0.0.0')).toMatchObject({ phase, failures, run: 1 })
+      expect(harness.task('j.0.0.1')).toMatchObject({ phase: 'waiting', failures: 0, run: 1 })
+    },
+  )
+
+  it('guards against a loss beside a commit that stays open', async () => {
+    const agent = await startTasks(1)
+    agent.report({ ended: [completed(1)] })
+    await harness.pass(harnesses.LEASE_MS + 1_500)
+    expect(kindsProposed()).toEqual([[EndKind.COMPLETED]])
+    expect(harness.logs.filter(({ message }) => message === 'worker lost')).toEqual([])
+    harness.held[0]?.fail()
+    await harness.pass(200)
+    expect(kindsProposed()).toEqual([[EndKind.COMPLETED], [EndKind.COMPLETED]])
+    harness.held[1]?.commit()
+    await settle()
+    const back = harness.attach('w')
+    back.report({ ended: [completed(1)] })
+    await settle()
+    expect(acknowledgedBy(back)).toBe(1)
+    expect(harness.held).toHaveLength(2)
+  })
+
+  it('guards against a loss when the next incarnation has barred the run', async () => {
+    const agent = await startTasks(1)
+    agent.report({ ended: [completed(1)] })
+    await settle()
+    const { ABSENT } = protocol.workflow.RejectionReason
+    agent.report({ bornMs: 2, rejected: [['j.0.0.0#1', ABSENT]] })
+    await settle()
+    expect(kindsProposed()).toEqual([[EndKind.COMPLETED]])
+  })
+})
+
 describe('the prefix rule', () => {
   type Action = readonly ['finish' | 'stranger' | 'list' | 'commit' | 'fail', number]
   const action: fastCheck.Arbitrary<Action> = fastCheck.tuple(
--- a/packages/workflow-control/src/endIntake.ts
+++ b/packages/workflow-control/src/endIntake.ts
@@ -12,7 +12,6 @@
 
 type TaskRun = protocol.workflow.TaskRun
 type RunEnd = protocol.workflow.RunEnd
-type ListedEnd = protocol.workflow.ListedEnd
 type WorkerIdentity = protocol.workflow.WorkerIdentity
 
 export interface EndIntakeOptions {
@@ -37,27 +36,39 @@
     session: sessions.WorkerSession,
     listed: protocol.workflow.WorkerReport['ended'],
   ) => void
+  /** Whether an end of a run was taken and is not settled. */
+  readonly holds: (run: TaskRun) => boolean
+  /**
+   * Says whether an end of a run that `holder` holds is in hand, and tries its commit again if that failed. The worker may
+   * be gone, so that no list repeats it.
+   */
+  readonly resume: (holder: WorkerIdentity, run: TaskRun) => boolean
+}
+
+/** End that was taken and is not settled. */
+interface OpenEnd {
+  readonly number: number
+  readonly reporter: WorkerIdentity
+  readonly end: RunEnd
 }
 
 /** Ends of one list that are recorded under one identity. */
 interface Batch {
   readonly holder: WorkerIdentity
-  readonly ends: RunEnd[]
-  readonly numbers: number[]
+  readonly ends: OpenEnd[]
   /** Whether an end is in it whose commit is tried for the first time. */
   isNew: boolean
 }
 
-/** Key of an end; two incarnations of a worker may list ends of one run. */
-const endKey = (reporterKey: string, run: TaskRun): string =>
-  `${reporterKey} ${workflowState.runKey(run)}`
+/** Key of an end; ends of one run may have several numbers, and several incarnations of a worker may list them. */
+const endKey = (reporterKey: string, number: number): string => `${reporterKey} ${number}`
 
 export const createEndIntake = (options: EndIntakeOptions): EndIntake => {
   const { logger, monitor } = options
   /** By `workerKey` of the incarnation that lists the ends. */
   const numbersByWorker = new Map<string, endNumbers.EndNumbers>()
-  /** Ends that were taken and are not settled, by `endKey`. */
-  const open = new Map<string, RunEnd>()
+  /** By `endKey`. */
+  const open = new Map<string, OpenEnd>()
 
   const numbersOf = (key: string): endNumbers.EndNumbers => {
     const numbers = numbersByWorker.get(key) ?? endNumbers.createEndNumbers()
@@ -65,24 +76,26 @@
     return numbers
   }
 
-  const hold = (key: string, holder: WorkerIdentity, run: TaskRun, end: RunEnd): RunEnd => {
+  const hold = (holder: WorkerIdentity, run: TaskRun, { end, ...listed }: OpenEnd): OpenEnd => {
     const checkpoint = end.checkpoint === '' ? options.checkpointOf(run) : end.checkpoint
-    const held = { ...end, checkpoint }
-    open.set(key, held)
-    options.noteEnd(holder, held)
+    const held = { ...listed, end: { ...end, checkpoint } }
+    open.set(endKey(workflowState.workerKey(listed.reporter), listed.number), held)
+    options.noteEnd(holder, held.end)
     return held
   }
 
-  const drop = (reporterKey: string, ends: readonly RunEnd[]): void => {
-    for (const { run } of ends) if (run !== undefined) open.delete(endKey(reporterKey, run))
+  const drop = (reporterKey: string, numbers: readonly number[]): void => {
+    for (const number of numbers) open.delete(endKey(reporterKey, number))
   }
 
   const record = async (
     reporter: WorkerIdentity,
-    { holder, ends, numbers, isNew }: Batch,
+    { holder, ends: batch, isNew }: Batch,
   ): Promise<void> => {
     const key = workflowState.workerKey(reporter)
     const known = numbersOf(key)
+    const numbers = batch.map(({ number }) => number)
+    const ends = batch.map(({ end }) => end)
     const waitIsOver = monitor.noteWait(reporter, Math.max(...numbers))
     const result = await options.commit(holder, ends)
     waitIsOver()
@@ -93,7 +106,7 @@
       if (isNew) logger.warn('ends not committed', { worker: holder.id, reason })
       return
     }
-    drop(key, ends)
+    drop(key, numbers)
     known.settle(numbers)
     monitor.noteCommitted(holder, ends, known.acknowledged)
     options.sessionOf(reporter.agent)?.acknowledge(key, known.acknowledged)
@@ -106,34 +119,49 @@
     const taken = numbers.take(listed.map(({ number }) => number))
     const batches = new Map<string, Batch>()
     const withoutHolder: RunEnd[] = []
-    const withoutEffect: ListedEnd[] = []
+    const withoutEffect: number[] = []
     for (const { number, end } of listed.filter((entry) => taken.has(entry.number))) {
       if (end?.run === undefined) {
-        withoutEffect.push({ number, end })
+        withoutEffect.push(number)
         continue
       }
       const current = options.holderOf(session, end.run)
       if (current === undefined) withoutHolder.push(end)
       const holder = current ?? (options.isLateCompletion(end) ? identity : undefined)
       if (holder === undefined) {
-        withoutEffect.push({ number, end })
+        withoutEffect.push(number)
         continue
       }
       const holderKey = workflowState.workerKey(holder)
-      const batch = batches.get(holderKey) ?? { holder, ends: [], numbers: [], isNew: false }
-      const openKey = endKey(key, end.run)
-      const known = open.get(openKey)
-      batch.ends.push(known ?? hold(openKey, holder, end.run, end))
-      batch.numbers.push(number)
+      const batch = batches.get(holderKey) ?? { holder, ends: [], isNew: false }
+      const known = open.get(endKey(key, number))
+      batch.ends.push(known ?? hold(holder, end.run, { number, reporter: identity, end }))
       batch.isNew ||= known === undefined
       batches.set(holderKey, batch)
     }
     monitor.noteWithoutHolder(identity, withoutHolder)
-    for (const { end } of withoutEffect) if (end !== undefined) drop(key, [end])
-    numbers.settle(withoutEffect.map(({ number }) => number))
+    drop(key, withoutEffect)
+    numbers.settle(withoutEffect)
     for (const batch of batches.values()) void record(identity, batch)
     session.acknowledge(key, numbers.acknowledged)
   }
 
-  return { handle }
+  const openEndsOf = (run: TaskRun): readonly OpenEnd[] => {
+    const key = workflowState.runKey(run)
+    return [...open.values()].filter(({ end }) => {
+      return end.run !== undefined && workflowState.runKey(end.run) === key
+    })
+  }
+
+  const resume: EndIntake['resume'] = (holder, run) => {
+    const ends = openEndsOf(run)
+    for (const held of ends) {
+      const { number, reporter } = held
+      const taken = numbersOf(workflowState.workerKey(reporter)).take([number])
+      if (taken.has(number)) void record(reporter, { holder, ends: [held], isNew: false })
+    }
+    return ends.length > 0
+  }
+
+  return { handle, holds: (run) => openEndsOf(run).length > 0, resume }
 }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -179,7 +179,7 @@
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
       const run = runOf(active)
-      if (underWay.has(run)) continue
+      if (underWay.has(run) || endIntake.holds(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
       if (active.step.job.phase !== 'active' || (!isRunning && !mayStart)) stops.push(run)
@@ -189,12 +189,15 @@
     session.stop(stops)
   }
 
-  /** Ends the runs of an incarnation that certainly runs nothing any more. */
+  /** Ends the runs of an incarnation that certainly runs nothing any more, but for those whose end is in hand. */
   const declareLost = (load: workflowState.WorkerLoad, why: string): void => {
     const key = workflowState.workerKey(load.identity)
     if (ending.has(key)) return
+    const runs = [...load.runs.values()]
+      .map(runOf)
+      .filter((run) => !endIntake.resume(load.identity, run))
+    if (runs.length === 0) return
     ending.add(key)
-    const runs = [...load.runs.values()].map(runOf)
     logger.warn('worker lost', {
       worker: load.identity.id,
       bornMs: load.identity.bornMs,
@@ -296,7 +299,7 @@
   const endOfOldIncarnation = (session: sessions.WorkerSession, run: TaskRun): void => {
     const active = activeRun(run)
     const holder = active && holderOf(session, active)
-    if (holder === undefined) return
+    if (holder === undefined || endIntake.resume(holder, run)) return
     const end = { run, kind: EndKind.LOST, checkpoint: checkpointOf(run) }
     void recordEnds(holder, [end])
   }
