fix(platform): answer every request that an entry has read before it exits

Cause: stop() waited for requests in progress until a second before the end of the grace time, then left what was still in progress to the exit of the process. Clients keep using open connections, so such requests always come, and a late leader makes them last. Ruled out: the 2.5 s wait for the rotation of new connections, which had passed.

Closing the leader client now ends its calls: unsent ones are answered with 503, those that a replica may have received with 504, and the entry exits after these answers.

--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -52,6 +52,7 @@
   readonly contact: Call<protocol.workflow.ContactRequest, protocol.workflow.ContactReply>
   /** Time since a leader last answered any call, in milliseconds; infinite if none ever did. */
   readonly sinceLeaderMs: () => number
+  /** Ends calls in progress without an answer, and later ones at once. */
   readonly close: () => void
 }
 
@@ -101,6 +102,9 @@
   const book = addressBooks.createAddressBook(options.seeds, nowMs)
   const pool = connections.createConnections(nowMs)
   let leaderAtMs = Number.NEGATIVE_INFINITY
+  let closed = false
+  /** Wakes the calls that wait. */
+  const waiting = new Set<() => void>()
 
   const beginAttempt = <Request, Response>(
     address: string,
@@ -179,11 +183,14 @@
 
     const waitUntil = (untilMs: number): Promise<void> =>
       new Promise((resolve) => {
-        const timer = setTimeout(resolve, Math.max(1, untilMs - nowMs()))
-        wake = () => {
+        const end = (): void => {
           clearTimeout(timer)
+          waiting.delete(end)
           resolve()
         }
+        const timer = setTimeout(end, Math.max(1, untilMs - nowMs()))
+        waiting.add(end)
+        wake = end
       })
 
     /** Takes an answer over; gives the response if it settles the call. */
@@ -250,7 +257,7 @@
         endAll('withdrawn')
         return results.Ok(response)
       }
-      const isOver = nowMs() >= endMs
+      const isOver = closed || nowMs() >= endMs
       if (!isOver && nowMs() >= nextMs) tryNext()
       if (isOver || (open.size === 0 && book.next() === undefined)) {
         if ([...open].some(({ isSent }) => isSent)) maybeDone = true
@@ -295,6 +302,8 @@
     ),
     sinceLeaderMs: () => nowMs() - leaderAtMs,
     close: () => {
+      closed = true
+      for (const wake of [...waiting]) wake()
       pool.close()
     },
   }
