fix(consensus): do not send entries again while they are on their way

The processors were not full (0.71 of 0.864 at most) and no loop was late.

Cause: with a configuration of 1,300 queues an entry has 600 kB. Heartbeats are calls of their own and overtake it. The follower refuses a heartbeat behind entries that it does not have yet, and the leader took that for a loss: it sent everything in flight again, to all followers, at each heartbeat of 120 ms. The copies fill the link, the transport gives calls up after 0.8 s and replaces the connection with all that is in it, and nothing arrives any more. The class of fault: a late message is treated as a lost one, which makes it later.

A refused heartbeat now counts as a loss only when the oldest message in flight is older than 0.6 s, doubled while resending brings nothing; a refused append is certain and is sent again at once. The model of consensus sends again at any time as before (resendMs 0) and passes.

--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -26,6 +26,8 @@
   matchRound: 0,
   resetRound: 0,
   inFlight: [],
+  window: state.config.maxInFlightMessages,
+  resets: 0,
   lastContactMs: nowMs,
   sample: undefined,
   leaseSentMs: undefined,
--- a/packages/consensus/src/replies.ts
+++ b/packages/consensus/src/replies.ts
@@ -32,6 +32,27 @@
 const isRolledBack = (progress: types.Progress, reply: AppendReply): boolean =>
   reply.round > progress.matchRound && reply.lastIndex < progress.matchIndex
 
+const grownWindow = (context: contexts.Context, { window }: types.Progress): number =>
+  Math.min(context.state.config.maxInFlightMessages, 2 * window)
+
+/** Most doublings of the time after which messages are sent again. */
+const MAX_RESEND_DOUBLINGS = 3
+
+/**
+ * Whether messages in flight may still arrive after a rejection of another one: a heartbeat overtakes appends that are
+ * large or late.
+ */
+const mayArrive = (
+  context: contexts.Context,
+  { inFlight, resets }: types.Progress,
+  { round }: AppendReply,
+): boolean => {
+  const [oldest] = inFlight
+  if (oldest === undefined || inFlight.some((message) => message.round === round)) return false
+  const resendMs = context.state.config.resendMs * 2 ** Math.min(resets, MAX_RESEND_DOUBLINGS)
+  return context.nowMs - oldest.sentMs < resendMs
+}
+
 const accept = (
   context: contexts.Context,
   id: string,
@@ -46,6 +67,7 @@
     matchRound: advanced ? context.state.round : progress.matchRound,
     nextIndex: Math.max(progress.nextIndex, matchIndex + 1),
     inFlight: progress.inFlight.filter((message) => message.lastIndex > matchIndex),
+    ...(advanced ? { window: grownWindow(context, progress), resets: 0 } : {}),
     snapshot: snapshot !== undefined && matchIndex >= snapshot.lastIndex ? undefined : snapshot,
   })
   if (advanced) leader.advanceCommit(context)
@@ -58,10 +80,13 @@
   reply: AppendReply,
 ): void => {
   if (progress.snapshot !== undefined || reply.round <= progress.resetRound) return
+  if (mayArrive(context, progress, reply)) return
   const hint = Math.min(reply.matchIndex, progress.nextIndex - 1)
   sending.setProgress(context, id, {
     nextIndex: Math.max(progress.matchIndex, hint) + 1,
     inFlight: [],
+    window: 1,
+    resets: progress.resets + 1,
     resetRound: context.state.round,
   })
 }
--- a/packages/consensus/src/sending.ts
+++ b/packages/consensus/src/sending.ts
@@ -54,8 +54,7 @@
   progress.inFlight.reduce((sum, message) => sum + message.bytes, 0)
 
 const hasRoom = (config: types.Config, progress: types.Progress): boolean =>
-  progress.inFlight.length < config.maxInFlightMessages &&
-  inFlightBytes(progress) < config.maxInFlightBytes
+  progress.inFlight.length < progress.window && inFlightBytes(progress) < config.maxInFlightBytes
 
 /** Sends entries to one member as far as its bounds in flight allow. */
 export const sendEntries = (context: contexts.Context, id: string): void => {
@@ -72,10 +71,8 @@
     const bytes = entries.reduce((sum, entry) => sum + entry.payload.length, 0)
     const lastIndex = progress.nextIndex + entries.length - 1
     sendAppend(context, id, progress, entries)
-    setProgress(context, id, {
-      nextIndex: lastIndex + 1,
-      inFlight: [...progress.inFlight, { lastIndex, bytes }],
-    })
+    const sent = { lastIndex, bytes, round: context.state.round, sentMs: context.nowMs }
+    setProgress(context, id, { nextIndex: lastIndex + 1, inFlight: [...progress.inFlight, sent] })
   }
 }
 
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -51,6 +51,11 @@
   readonly maxInFlightBytes: number
   /** Append messages with entries sent to one member and not yet acknowledged. */
   readonly maxInFlightMessages: number
+  /**
+   * Time after which append messages without an answer may be sent again, in milliseconds. It doubles while that brings
+   * nothing, since messages that are only late would fill the link with their copies.
+   */
+  readonly resendMs: number
   /** Bytes of entries that wait for commitment before proposals are refused. */
   readonly maxUncommittedBytes: number
   /** Entries kept before a snapshot for members that lag a little. */
@@ -91,6 +96,8 @@
 export interface InFlight {
   readonly lastIndex: number
   readonly bytes: number
+  readonly round: number
+  readonly sentMs: number
 }
 
 /** Leader's knowledge of one other member. */
@@ -103,6 +110,10 @@
   /** Rejections of rounds up to this one were already answered. */
   readonly resetRound: number
   readonly inFlight: readonly InFlight[]
+  /** Append messages that may be in flight: one after a reset, doubled by each acknowledgement of new entries. */
+  readonly window: number
+  /** Resets since entries were last acknowledged. */
+  readonly resets: number
   readonly lastContactMs: number
   /** Heartbeat that waits for its acknowledgement. */
   readonly sample: { readonly round: number; readonly sentMs: number } | undefined
--- a/packages/model-check/src/warmUp.ts
+++ b/packages/model-check/src/warmUp.ts
@@ -27,7 +27,8 @@
 export const formGroup = (options: GroupOptions): worlds.World => {
   const disk = bootstrapped(options.ids)
   const nodes = options.ids.map((id) => {
-    const config = consensus.resolveConfig({ ...options.config, cell: 'm', id })
+    // The network of the model decides what is lost, so a rejection may send entries again at any time.
+    const config = consensus.resolveConfig({ resendMs: 0, ...options.config, cell: 'm', id })
     const node = worlds.createNode(config, options.rates?.[id] ?? 1, disk)
     return [id, { ...node, nowMs: config.electionTimeoutMaxMs }] as const
   })
--- a/packages/model-check/src/worldKey.ts
+++ b/packages/model-check/src/worldKey.ts
@@ -20,6 +20,7 @@
     progress.matchRound,
     progress.resetRound,
     progress.inFlight.map((item) => item.lastIndex).join('+'),
+    progress.window,
     age(nowMs, progress.lastContactMs),
     progress.sample === undefined
       ? ''
