perf(peer-transport): send replication messages on one stream instead of a call each

All control replicas used much processor time, followers too: each message between replicas was a gRPC call of its own, and an append to four followers is four requests and four answers, so eight calls at the leader. Headers, trailers, deadline and credentials of a call cost far more than its message of some hundred bytes.

A replica now sends its messages to another one on one stream. A sender keeps at most 64 messages without a receipt and drops further ones, as before; after 800 ms without a due receipt, or two failed streams, it replaces the connection. The protocol of the log tolerates lost, late and repeated messages, so nothing else changes. A control replica with the calls before cannot talk to one with streams. The service ends its streams when a server closes.

Tests (new, transport.spec): 200 messages use one stream in order; at most 64 are in flight; a silent connection is replaced after 800 ms; a restarted peer is reached again; an ended service delivers nothing more.

--- a/packages/bench/src/loopbackTransport.ts
+++ b/packages/bench/src/loopbackTransport.ts
@@ -1,3 +1,4 @@
+import * as peerTransport from '@ebonyweir/peer-transport'
 import * as protocol from '@ebonyweir/protocol'
 import * as grpc from '@grpc/grpc-js'
 
@@ -17,15 +18,8 @@
   onEnvelope: (envelope: Envelope) => void,
 ): Promise<LoopbackTransport> => {
   const server = new grpc.Server({ 'grpc.max_receive_message_length': 16 * 1024 * 1024 })
-  server.addService(protocol.replication.ReplicationService, {
-    deliver: (
-      call: grpc.ServerUnaryCall<Envelope, protocol.replication.ReplicationAck>,
-      callback: grpc.sendUnaryData<protocol.replication.ReplicationAck>,
-    ) => {
-      callback(null, {})
-      onEnvelope(call.request)
-    },
-  })
+  const service = peerTransport.createReplicationService({ deliver: onEnvelope })
+  server.addService(protocol.replication.ReplicationService, { ...service.handlers })
   const port = await new Promise<number>((resolve, reject) => {
     const credentials = grpc.ServerCredentials.createInsecure()
     server.bindAsync(`127.0.0.1:${wantedPort}`, credentials, (error, bound) => {
@@ -33,30 +27,13 @@
       else resolve(bound)
     })
   })
-  const clients = new Map<string, protocol.replication.ReplicationClient>()
-
-  const clientOf = (address: string): protocol.replication.ReplicationClient => {
-    const known = clients.get(address)
-    if (known !== undefined) return known
-    const created = new protocol.replication.ReplicationClient(
-      address,
-      grpc.credentials.createInsecure(),
-      {
-        'grpc.initial_reconnect_backoff_ms': 100,
-        'grpc.max_reconnect_backoff_ms': 500,
-      },
-    )
-    clients.set(address, created)
-    return created
-  }
+  const transport = peerTransport.createTransport()
 
   return {
     port,
-    send: (envelope, address) => {
-      clientOf(address).deliver(envelope, () => undefined)
-    },
+    send: transport.send,
     close: () => {
-      for (const client of clients.values()) client.close()
+      transport.close()
       server.forceShutdown()
     },
   }
--- a/packages/control/src/grpcServer.ts
+++ b/packages/control/src/grpcServer.ts
@@ -44,9 +44,8 @@
 
 export const createGrpcServer = (ctx: context.ControlContext): GrpcServer => {
   const server = new grpc.Server(peerTransport.CHANNEL_OPTIONS)
-  server.addService(protocol.replication.ReplicationService, {
-    ...peerTransport.createReplicationService(ctx.replica),
-  })
+  const replication = peerTransport.createReplicationService(ctx.replica)
+  server.addService(protocol.replication.ReplicationService, { ...replication.handlers })
   server.addService(protocol.control.ControlService, { ...controlService(ctx) })
 
   const start: GrpcServer['start'] = () =>
@@ -60,6 +59,7 @@
 
   const stop: GrpcServer['stop'] = (timeoutMs) =>
     new Promise((resolve) => {
+      replication.end()
       const timer = setTimeout(() => {
         server.forceShutdown()
         resolve()
--- a/packages/peer-transport/src/transport.ts
+++ b/packages/peer-transport/src/transport.ts
@@ -2,14 +2,35 @@
 import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@ebonyweir/protocol'
 
-const DELIVERY_TIMEOUT_MS = 800
+/**
+ * Time without a receipt after which a connection is replaced, in milliseconds. Receipts come within 50 ms, and a new
+ * connection has to be up before the shortest election timeout of 1 s is over.
+ */
+const SILENCE_MS = 800
+
+/** Messages sent to one peer and not acknowledged, above which further ones are dropped; the log repeats them. */
 const MAX_IN_FLIGHT_PER_PEER = 64
+
+/** Streams that failed one after the other, after which the connection is replaced. */
 const FAILURES_BEFORE_RECONNECT = 2
 
+type DeliverCall = grpc.ClientDuplexStream<
+  protocol.replication.ReplicationEnvelope,
+  protocol.replication.ReplicationReceipt
+>
+
+interface Stream {
+  readonly call: DeliverCall
+  sent: number
+  received: number
+  /** Since when a receipt is due; meaningless while everything is acknowledged. */
+  waitingSinceMs: number
+}
+
 interface Peer {
   client: protocol.replication.ReplicationClient
   readonly address: string
-  inFlight: number
+  stream: Stream | undefined
   consecutiveFailures: number
 }
 
@@ -35,40 +56,88 @@
     CHANNEL_OPTIONS,
   )
 
-export const createTransport = (): Transport => {
+export interface TransportOptions {
+  /** Monotonic clock in milliseconds. @default performance.now */
+  readonly nowMs?: () => number
+}
+
+/** Ends a stream whose error events are of no interest any more. */
+const abandon = ({ call }: Stream): void => {
+  call.removeAllListeners()
+  call.on('error', () => undefined)
+  call.cancel()
+}
+
+export const createTransport = (options: TransportOptions = {}): Transport => {
+  const nowMs = options.nowMs ?? (() => performance.now())
   const peers = new Map<string, Peer>()
 
+  const closePeer = (peer: Peer): void => {
+    if (peer.stream !== undefined) abandon(peer.stream)
+    peer.stream = undefined
+    peer.client.close()
+  }
+
   const peerFor = (replicaId: string, address: string): Peer => {
     const known = peers.get(replicaId)
     if (known?.address === address) return known
-    known?.client.close()
-    const peer: Peer = { client: connect(address), address, inFlight: 0, consecutiveFailures: 0 }
+    if (known !== undefined) closePeer(known)
+    const peer: Peer = {
+      client: connect(address),
+      address,
+      stream: undefined,
+      consecutiveFailures: 0,
+    }
     peers.set(replicaId, peer)
     return peer
   }
 
-  // A connection may go silent for good while new ones work, so repeated failures replace it.
-  const noteResult = (peer: Peer, failed: boolean): void => {
-    peer.inFlight -= 1
-    peer.consecutiveFailures = failed ? peer.consecutiveFailures + 1 : 0
-    if (peer.consecutiveFailures < FAILURES_BEFORE_RECONNECT) return
+  // A connection may go silent for good while new ones work, so it is replaced.
+  const reconnect = (peer: Peer): void => {
+    closePeer(peer)
     peer.consecutiveFailures = 0
-    peer.client.close()
     peer.client = connect(peer.address)
   }
 
+  const openStream = (peer: Peer): Stream => {
+    const call = peer.client.deliver()
+    const stream: Stream = { call, sent: 0, received: 0, waitingSinceMs: nowMs() }
+    peer.stream = stream
+
+    const fail = (): void => {
+      if (peer.stream !== stream) return
+      abandon(stream)
+      peer.stream = undefined
+      peer.consecutiveFailures += 1
+      if (peer.consecutiveFailures >= FAILURES_BEFORE_RECONNECT) reconnect(peer)
+    }
+
+    call.on('data', ({ received }: protocol.replication.ReplicationReceipt) => {
+      stream.received = received
+      stream.waitingSinceMs = nowMs()
+      peer.consecutiveFailures = 0
+    })
+    call.on('end', fail)
+    call.on('error', fail)
+    return stream
+  }
+
+  const isSilent = ({ sent, received, waitingSinceMs }: Stream): boolean =>
+    sent > received && nowMs() - waitingSinceMs >= SILENCE_MS
+
   const send = (envelope: protocol.replication.ReplicationEnvelope, address: string): void => {
     const peer = peerFor(envelope.to, address)
-    if (peer.inFlight >= MAX_IN_FLIGHT_PER_PEER) return
-    peer.inFlight += 1
-    const deadline = new Date(Date.now() + DELIVERY_TIMEOUT_MS)
-    peer.client.deliver(envelope, new grpc.Metadata(), { deadline }, (error) => {
-      noteResult(peer, error !== null)
-    })
+    if (peer.stream !== undefined && isSilent(peer.stream)) reconnect(peer)
+    const stream = peer.stream ?? openStream(peer)
+    const inFlight = stream.sent - stream.received
+    if (inFlight >= MAX_IN_FLIGHT_PER_PEER) return
+    if (inFlight === 0) stream.waitingSinceMs = nowMs()
+    stream.sent += 1
+    stream.call.write(envelope)
   }
 
   const close = (): void => {
-    for (const peer of peers.values()) peer.client.close()
+    for (const peer of peers.values()) closePeer(peer)
     peers.clear()
   }
 
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -122,10 +122,9 @@
 
 export const createGrpcServer = (ctx: context.ControlContext, parts: ServerParts): GrpcServer => {
   const server = new grpc.Server(peerTransport.CHANNEL_OPTIONS)
+  const replication = peerTransport.createReplicationService(ctx.replica)
   const { grpcAddress } = ctx.options
-  server.addService(protocol.replication.ReplicationService, {
-    ...peerTransport.createReplicationService(ctx.replica),
-  })
+  server.addService(protocol.replication.ReplicationService, { ...replication.handlers })
   server.addService(protocol.workflow.WorkflowService, {
     submit: unary(parts.calls.submit),
     cancel: unary(parts.calls.cancel),
@@ -152,6 +151,7 @@
 
   const stop: GrpcServer['stop'] = (timeoutMs) =>
     new Promise((resolve) => {
+      replication.end()
       const timer = setTimeout(() => {
         server.forceShutdown()
         resolve()
