perf(workflow-agent): wait for the acknowledgement of ends instead of listing every 25 ms

While the commit of an end was under way, the agent asked its worker for a list every 25 ms and sent each one in full to the leader: 40 reports a second from each worker with an open end, the more the later the leader is. The agent now waits until all listed ends are acknowledged, or until a stop or start waits for a list, or 400 ms, the interval of lists without ends. A new leader gets the newest list with its ends at once, as before; a lost acknowledgement leads to the next list after 400 ms.

The gain with a prompt leader is small; a leader that is late by 0.5 s is spared up to 20 reports for each open end.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -7,6 +7,7 @@
 import * as workerAgents from '../src/workerAgent.js'
 
 const { afterEach, describe, expect, it } = vitest
+const { EndKind } = protocol.workflow
 
 const RUN: protocol.workflow.TaskRun = { job: 'j', occurrence: 0, step: 0, index: 0, run: 1 }
 const LEASE_MS = 6_000
@@ -14,6 +15,9 @@
 /** Longer than the pauses of the agent between two calls, in milliseconds. */
 const QUIET_MS = 300
 
+/** Interval of the agent's lists without an acknowledgement, in milliseconds. */
+const LIST_INTERVAL_MS = 400
+
 type AttachCall = grpc.ServerDuplexStream<
   protocol.workflow.WorkerReport,
   protocol.workflow.WorkerOrders
@@ -59,6 +63,17 @@
     acknowledge: (): void => {
       send({ sequence: reports.at(-1)?.sequence ?? 0 })
     },
+    /** Says that the ends up to `number` are committed. */
+    commit: (number: number): void => {
+      send({ acknowledgedEnd: number })
+    },
+    stop: (): void => {
+      send({ stops: [RUN] })
+    },
+    /** Ends the stream as a replica does that no longer leads. */
+    resign: (): void => {
+      stream?.end()
+    },
     close: (): void => {
       server.forceShutdown()
     },
@@ -68,6 +83,8 @@
 /** Worker whose answers to starts are given in advance; the last one is repeated. */
 const createWorker = (answers: readonly runners.StartAnswer[]) => {
   const paces: number[] = []
+  const acknowledgedEnds: number[] = []
+  let ended: readonly protocol.workflow.ListedEnd[] = []
   let startCalls = 0
   const runner: runners.Runner = {
     start: () => {
@@ -76,17 +93,30 @@
       return Promise.resolve(answer ?? { kind: 'unanswered' })
     },
     stop: () => Promise.resolve('done'),
-    list: async (_, { waitMs }) => {
-      await timers.setTimeout(Math.min(waitMs, 20))
+    list: async (_, { waitMs, acknowledgedEnd }) => {
+      acknowledgedEnds.push(acknowledgedEnd)
+      ended = ended.filter(({ number }) => number > acknowledgedEnd)
+      if (ended.length === 0) await timers.setTimeout(Math.min(waitMs, 20))
       const clockMs = Math.round(performance.now())
-      return { kind: 'list', list: { bornMs: 1, clockMs, running: [], ended: [] } }
+      return { kind: 'list', list: { bornMs: 1, clockMs, running: [], ended } }
     },
     pace: (_identity, _run, percent) => {
       paces.push(percent)
       return Promise.resolve('done')
     },
   }
-  return { runner, paces, startCalls: () => startCalls }
+  return {
+    runner,
+    paces,
+    startCalls: () => startCalls,
+    /** Lets another run end, which lists show until its number is acknowledged. */
+    endRun: (number: number): void => {
+      const run = { ...RUN, index: number }
+      ended = [...ended, { number, end: { run, kind: EndKind.COMPLETED, checkpoint: '' } }]
+    },
+    /** The acknowledged number of each list call. */
+    acknowledgedEnds,
+  }
 }
 
 const closers: (() => void)[] = []
@@ -158,4 +188,51 @@
     await timers.setTimeout(QUIET_MS)
     expect(worker.paces).toEqual(paces)
   })
+
+  it('guards against lists again and again while the commit of an end takes long', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.endRun(1)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 1)
+    const calls = worker.acknowledgedEnds.length
+    const sinceMs = performance.now()
+    await timers.setTimeout(QUIET_MS)
+    const due = 1 + (performance.now() - sinceMs) / LIST_INTERVAL_MS
+    expect(worker.acknowledgedEnds.length - calls).toBeLessThanOrEqual(due)
+    leader.commit(1)
+    await vitest.vi.waitUntil(() => worker.acknowledgedEnds.at(-1) === 1)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 0)
+  })
+
+  it('guards against waiting for an acknowledgement of some of the listed ends', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.endRun(1)
+    worker.endRun(2)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 2)
+    leader.commit(1)
+    await vitest.vi.waitUntil(() => worker.acknowledgedEnds.at(-1) === 1)
+    leader.commit(2)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 0)
+  })
+
+  it('guards against a stop that waits for the acknowledgement of an end', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.endRun(1)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 1)
+    const { sample = 0 } = leader.reports.at(-1) ?? {}
+    leader.stop()
+    await vitest.vi.waitUntil(() => leader.reports.some(({ rejected }) => rejected.length > 0))
+    const rejecting = leader.reports.find(({ rejected }) => rejected.length > 0)
+    // Only the list that the stop waited for came between.
+    expect((rejecting?.sample ?? 0) - sample).toBeLessThanOrEqual(2)
+  })
+
+  it('guards against an end that a new leader does not hear of', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.endRun(1)
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.ended.length === 1)
+    const before = leader.reports.length
+    leader.resign()
+    await vitest.vi.waitUntil(() => leader.reports.length > before)
+    expect(leader.reports[before]?.ended).toHaveLength(1)
+  })
 })
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -6,6 +6,7 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as attachTraces from './attachTrace.js'
 import * as leaderStreams from './leaderStream.js'
+import * as pauses from './pause.js'
 import type * as runners from './runner.js'
 import * as runTables from './runTable.js'
 
@@ -15,8 +16,11 @@
 /** Pause after a list call that failed, in milliseconds. */
 const LIST_PAUSE_MS = 150
 
-/** Pause after a list with ends, in milliseconds; their commit takes a few syncs of the disk. */
-const COMMIT_PAUSE_MS = 25
+/**
+ * Longest wait for the acknowledgement of listed ends, in milliseconds: the interval of lists without ends, so that a
+ * leader that commits late does not get more reports for it.
+ */
+const ACKNOWLEDGE_WAIT_MS = LIST_WAIT_MS
 
 /** Longest time between two reports while the worker does not answer, in milliseconds. */
 const REPORT_INTERVAL_MS = 400
@@ -69,6 +73,10 @@
   readonly table: runTables.RunTable
   leaseUntilMs: number
   acknowledgedEnd: number
+  /** Highest number of an end in the newest list. */
+  listedEnd: number
+  /** Pause of the list loop until the listed ends are acknowledged or someone waits for a list. */
+  readonly acknowledgement: pauses.Pause
   list: runners.WorkerList | undefined
   sample: number
   alarm: scheduling.Alarm
@@ -154,6 +162,7 @@
     if (workflowState.workerKey(worker) !== workflowState.workerKey(own)) return
     life.leaseUntilMs = Math.max(life.leaseUntilMs, orders.leaseUntilMs)
     life.acknowledgedEnd = Math.max(life.acknowledgedEnd, orders.acknowledgedEnd)
+    if (life.acknowledgedEnd >= life.listedEnd) life.acknowledgement.end()
     for (const order of orders.starts) if (!isRejecting(order)) life.table.start(order)
     for (const run of orders.stops) life.table.stop(run)
     for (const { run, percent } of orders.paces) {
@@ -234,10 +243,13 @@
       })
       if (life !== current) return
       if (answer.kind === 'list') {
+        current.listedEnd = Math.max(0, ...answer.list.ended.map(({ number }) => number))
         noteList(current, answer.list)
         // The worker answers at once while it has ends that are not acknowledged.
-        const isPending = answer.list.ended.some(({ number }) => number > current.acknowledgedEnd)
-        if (isPending) await timers.setTimeout(COMMIT_PAUSE_MS)
+        const isPending = current.listedEnd > current.acknowledgedEnd
+        if (isPending && current.listWaiters.length === 0) {
+          await current.acknowledgement.wait(ACKNOWLEDGE_WAIT_MS)
+        }
         continue
       }
       if (answer.kind === 'fence') stream.restart('the worker has seen a higher fence')
@@ -248,6 +260,7 @@
   const endLife = (ending: Life): void => {
     ending.ended = true
     ending.table.close()
+    ending.acknowledgement.end()
     for (const waiter of ending.listWaiters.splice(0)) waiter(undefined)
     for (const waiter of ending.servedWaiters.splice(0)) waiter(undefined)
   }
@@ -266,7 +279,10 @@
       nextList: () =>
         new Promise((resolve) => {
           if (begun.ended) resolve(undefined)
-          else begun.listWaiters.push(resolve)
+          else {
+            begun.listWaiters.push(resolve)
+            begun.acknowledgement.end()
+          }
         }),
       onRejected: (rejection) => {
         rejections.push({ rejection, sentSequence: 0 })
@@ -284,6 +300,8 @@
       table,
       leaseUntilMs: 0,
       acknowledgedEnd: 0,
+      listedEnd: 0,
+      acknowledgement: pauses.createPause(),
       list: undefined,
       sample: 0,
       alarm: scheduling.NO_ALARM,
