feat(workflow-control): log and measure commits that stand still

A leader whose commit index does not move for 1 s although entries wait now logs "commits stand still" once a second with what each replica acknowledged, its last contact, the bytes in flight to it and how often entries were sent again, and serves the time as ebonyweir's commit_stalled_seconds.

--- a/packages/replica/src/status.ts
+++ b/packages/replica/src/status.ts
@@ -36,7 +36,8 @@
   nowMs: number,
 ): types.MemberStatus => {
   if (member.id === state.config.id) {
-    return { ...member, acknowledgedIndex: state.syncedIndex, lastContactMs: 0, refused: false }
+    const own = { lastContactMs: 0, inFlightBytes: 0, resets: 0, refused: false }
+    return { ...member, acknowledgedIndex: state.syncedIndex, ...own }
   }
   const progress = state.role === 'leader' ? state.progress[member.id] : undefined
   const heard = progress !== undefined && !progress.lapsed
@@ -44,6 +45,8 @@
     ...member,
     acknowledgedIndex: progress?.matchIndex,
     lastContactMs: heard ? nowMs - progress.lastContactMs : undefined,
+    inFlightBytes: progress?.inFlight.reduce((sum, { bytes }) => sum + bytes, 0) ?? 0,
+    resets: progress?.resets ?? 0,
     refused: progress?.refused ?? false,
   }
 }
--- a/packages/replica/src/types.ts
+++ b/packages/replica/src/types.ts
@@ -111,6 +111,10 @@
   readonly acknowledgedIndex: number | undefined
   /** Time since the member's last message; undefined when unknown. */
   readonly lastContactMs: number | undefined
+  /** Bytes of entries sent to the member and not acknowledged; 0 on a replica that is not the leader. */
+  readonly inFlightBytes: number
+  /** Times that entries were sent to the member again since it last acknowledged some. */
+  readonly resets: number
   /** Set when the member reported less than it had acknowledged earlier and has to be replaced. */
   readonly refused: boolean
 }
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -7,6 +7,7 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as results from 'ts-results-es'
 import * as calls from './calls.js'
+import * as commitWatch from './commitWatch.js'
 import type * as context from './context.js'
 import * as endMonitors from './endMonitor.js'
 import * as grpcServer from './grpcServer.js'
@@ -55,6 +56,8 @@
   readonly leading: boolean
   readonly term: number
   readonly commitIndex: number
+  /** Time for which the oldest entry of a leader has waited for its commit, in milliseconds. */
+  readonly commitStalledMs: number
   readonly jobs: number
   readonly readySteps: number
   readonly attachedWorkers: number
@@ -83,6 +86,7 @@
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   const work = workMeter.createWorkMeter(nowMs)
   const watch = loopWatch.createLoopWatch({ nowMs, logger, work })
+  const commits = commitWatch.createCommitWatch({ nowMs, logger })
   let node: replica.Replica<workflowState.Outcome> | undefined
   let term: leaderTerms.LeaderTerm | undefined
   let running: { readonly stop: () => Promise<void> } | undefined
@@ -195,6 +199,7 @@
     let busy = false
     const timer = setInterval(() => {
       followLeadership(ctx)
+      commits.check(own.leadership().role === 'leader', own.membersStatus())
       if (busy) return
       busy = true
       void housekeeping.keepHouse(ctx, onChange).finally(() => {
@@ -232,6 +237,7 @@
         leading: leadership?.role === 'leader',
         term: leadership?.term ?? 0,
         commitIndex: node?.membersStatus().commitIndex ?? 0,
+        commitStalledMs: commits.stalledMs(),
         jobs: state.view.jobs.size,
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
