fix(workflow-client): refuse no job that a silent replica may have received

What callers saw: a submission that the old leader had received and not answered was answered with 429, 404 or 503 when a new leader refused the next attempt of the same call.

Cause: the client returned the first response of a leader as the result of the call, whatever became of its other attempts. Only a call without any response took them into account.

The tests fail before the change for overloaded, no queue and unconfigured (a result instead of a failure that may be done) and pass after it; three more show that a refusal without an open attempt is passed on. An invalid job stays refused: every leader decides that in the same way.

--- a/packages/workflow-client/__tests__/leaderClient.spec.ts
+++ b/packages/workflow-client/__tests__/leaderClient.spec.ts
@@ -16,6 +16,8 @@
 
 const QUERY: protocol.workflow.JobQuery = { host: 'h', path: '/', job: 'j' }
 
+const SUBMISSION: protocol.workflow.SubmitRequest = { host: 'h', path: '/', spec: undefined }
+
 const started: { readonly stop: () => void }[] = []
 
 interface Replica extends relays.Relay {
@@ -24,24 +26,31 @@
   leader: string
   /** Wait before each answer, in milliseconds. */
   answerMs: number
+  /** Outcome of each call while it leads. */
+  outcome: protocol.workflow.CallOutcome
   /** Calls received, in their order. */
   readonly received: string[]
 }
 
 /** Replica that answers calls over gRPC, behind a relay. */
 const startReplica = async (
-  behaviour: Partial<Pick<Replica, 'leading' | 'leader' | 'answerMs'>> = {},
+  behaviour: Partial<Pick<Replica, 'leading' | 'leader' | 'answerMs' | 'outcome'>> = {},
 ): Promise<Replica> => {
   const server = new grpc.Server()
   const received: string[] = []
   const answer = (name: string, send: (reply: protocol.workflow.CallReply) => void): void => {
     received.push(name)
     const { leading, leader, answerMs } = replica
-    const outcome = leading ? CallOutcome.OK : CallOutcome.NOT_LEADING
+    const outcome = leading ? replica.outcome : CallOutcome.NOT_LEADING
     const hint = { leader: leading ? '' : leader, members: [] }
     setTimeout(send, leading ? answerMs : 0, { outcome, hint, retryAfterMs: 0, detail: '' })
   }
   server.addService(protocol.workflow.WorkflowService, {
+    submit: (_: unknown, done: grpc.sendUnaryData<protocol.workflow.CallReply>) => {
+      answer('submit', (reply) => {
+        done(null, reply)
+      })
+    },
     cancel: (_: unknown, done: grpc.sendUnaryData<protocol.workflow.CallReply>) => {
       answer('cancel', (reply) => {
         done(null, reply)
@@ -63,6 +72,7 @@
     leading: true,
     leader: '',
     answerMs: 0,
+    outcome: CallOutcome.OK,
     ...behaviour,
     ...relay,
     received,
@@ -180,4 +190,32 @@
     const unanswered = await startClient(silent).cancel(QUERY, 600)
     expect(unanswered.isErr() && unanswered.error.maybeDone).toBe(false)
   })
+
+  const refusals = [
+    { name: 'overloaded', outcome: CallOutcome.OVERLOADED },
+    { name: 'without the queue', outcome: CallOutcome.NO_QUEUE },
+    { name: 'without a configuration', outcome: CallOutcome.UNCONFIGURED },
+  ]
+
+  it.each(refusals)(
+    'guards against a job said to be refused by a leader $name that a silent replica may have received',
+    async ({ outcome }) => {
+      const old = await startReplica()
+      const next = await startReplica({ leading: false, leader: old.address, outcome })
+      const client = startClient(next, old)
+      await client.cancel(QUERY, TIMEOUT_MS)
+      old.silence('all')
+      next.leading = true
+      const result = await client.submit(SUBMISSION, TIMEOUT_MS)
+      expect(next.received).toContain('submit')
+      expect(result.isErr() && result.error.maybeDone).toBe(true)
+    },
+  )
+
+  it.each(refusals)('refuses a job that only a leader $name received', async ({ outcome }) => {
+    const leader = await startReplica({ outcome })
+    const follower = await startReplica({ leading: false, leader: leader.address })
+    const result = await startClient(follower, leader).submit(SUBMISSION, TIMEOUT_MS)
+    expect(result.isOk() && result.value.outcome).toBe(outcome)
+  })
 })
--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -96,6 +96,15 @@
   return reply
 }
 
+/** Outcomes after which a job does not run, unless another attempt of the same call brings it in. */
+const REFUSALS: ReadonlySet<protocol.workflow.CallOutcome> = new Set([
+  CallOutcome.OVERLOADED,
+  CallOutcome.NO_QUEUE,
+  CallOutcome.UNCONFIGURED,
+])
+
+const isRefusal = ({ outcome }: protocol.workflow.CallReply): boolean => REFUSALS.has(outcome)
+
 export const createLeaderClient = (options: LeaderClientOptions): LeaderClient => {
   const nowMs = options.nowMs ?? (() => performance.now())
   const book = addressBooks.createAddressBook(options.seeds, nowMs)
@@ -156,6 +165,7 @@
     method: Method<Request, Response>,
     request: Request,
     timeoutMs: number,
+    isUncertain: (response: Response) => boolean = () => false,
   ): Reply<Response> => {
     const endMs = nowMs() + timeoutMs
     const open = new Set<Attempt>()
@@ -239,6 +249,9 @@
       nextMs = nowMs() + NEXT_CONNECTION_MS
     }
 
+    /** Whether the call may take effect through an attempt that has no answer. */
+    const mayHaveEffect = (): boolean => maybeDone || [...open].some(({ isSent }) => isSent)
+
     const endAll = (how: 'unanswered' | 'withdrawn'): void => {
       for (const attempt of open) attempt.end(how)
     }
@@ -247,13 +260,15 @@
       for (const [attempt, event] of events.splice(0)) {
         const response = take(attempt, event)
         if (response === undefined) continue
+        const mayDiffer = mayHaveEffect()
         endAll('withdrawn')
-        return results.Ok(response)
+        if (!mayDiffer || !isUncertain(response)) return results.Ok(response)
+        return results.Err({ maybeDone: true, detail })
       }
       const isOver = nowMs() >= endMs
       if (!isOver && nowMs() >= nextMs) tryNext()
       if (isOver || (open.size === 0 && book.next() === undefined)) {
-        if ([...open].some(({ isSent }) => isSent)) maybeDone = true
+        maybeDone = mayHaveEffect()
         endAll('unanswered')
         return results.Err({ maybeDone, detail })
       }
@@ -261,16 +276,21 @@
     }
   }
 
+  /** `isUncertain` names the responses that hold only if no replica got the call in another attempt. */
   const bind =
-    <Request, Response>(method: Method<Request, Response>): Call<Request, Response> =>
+    <Request, Response>(
+      method: Method<Request, Response>,
+      isUncertain?: (response: Response) => boolean,
+    ): Call<Request, Response> =>
     (request, timeoutMs) =>
-      call(method, request, timeoutMs)
+      call(method, request, timeoutMs, isUncertain)
 
   const none = (): grpc.Metadata => new grpc.Metadata()
 
   return {
-    submit: bind((client, request, settings, done) =>
-      client.submit(request, none(), settings, done),
+    submit: bind(
+      (client, request, settings, done) => client.submit(request, none(), settings, done),
+      isRefusal,
     ),
     cancel: bind((client, request, settings, done) =>
       client.cancel(request, none(), settings, done),
