fix(workflow-control): count no silence of workers while the leader could not hear them

What callers saw: nothing yet; found by review. The timers of a thawed process run before it reads from its sockets. Ends that completed before their lease ended were then listed after their tasks had been assigned again.

A group of one has a valid lease at once. A void lease is the same in the small, since reports are dropped meanwhile.

It only gets longer, so that no lease is outlived. The two tests for a frozen process and for a void lease fail before (worker lost, no list for 8080 ms), and two others show that a worker that stays silent is still lost.

--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -216,6 +216,57 @@
     expect(other.starts()).toEqual(['j.0.0.0#2'])
   })
 
+  const standstills: readonly { readonly name: string; readonly stand: () => Promise<unknown> }[] =
+    [
+      {
+        name: 'the process of the leader was frozen',
+        stand: async () => {
+          harness.freeze(8_000)
+          // The timers of a thawed process run before it reads from its sockets.
+          await harness.pass(110)
+        },
+      },
+      {
+        name: 'the lease of the leader was void',
+        stand: async () => {
+          harness.control.leading = false
+          await harness.pass(8_000)
+          harness.control.leading = true
+          await harness.pass(110)
+        },
+      },
+    ]
+
+  it.each(standstills)(
+    'guards against a loss of workers that could not be heard because $name',
+    async ({ stand }) => {
+      const agent = harness.attach('w')
+      agent.report()
+      harness.submit('j', [{}])
+      await settle()
+      agent.report({ running: ['j.0.0.0#1'] })
+      await stand()
+      // Agents need some seconds to attach again.
+      await harness.pass(2_000)
+      agent.report({ ended: [[1, 'j.0.0.0#1', EndKind.COMPLETED]] })
+      await settle()
+      expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'completed', run: 1 })
+      expect(harness.logs.filter(({ message }) => message === 'worker lost')).toEqual([])
+    },
+  )
+
+  it.each(standstills)(
+    'guards against a worker that is never lost after $name',
+    async ({ stand }) => {
+      harness.attach('w').report()
+      harness.submit('j', [{}])
+      await settle()
+      await stand()
+      await harness.pass(harnesses.LEASE_MS + 1_500)
+      expect(harness.task('j.0.0.0')?.phase).toBe('waiting')
+    },
+  )
+
   it('guards against an extension by reports without a new list', async () => {
     const dark = harness.attach('v')
     dark.report()
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -85,7 +85,8 @@
     proposed: (): void => undefined,
   }
   const held: HeldCommit[] = []
-  const nowMs = (): number => performance.now()
+  let frozenMs = 0
+  const nowMs = (): number => performance.now() + frozenMs
   const ctx: context.ControlContext = {
     options: {
       cell: 'test',
@@ -233,6 +234,10 @@
       term.dispatch()
     },
     apply: (body: context.CommandBody) => state.apply({ nowMs: Date.now(), body }),
+    /** The process stands still: the clock goes on, and no timer runs meanwhile. */
+    freeze: (ms: number): void => {
+      frozenMs += ms
+    },
     /** Lets timers and promises of the next `ms` milliseconds run. */
     pass: (ms: number): Promise<unknown> => vitest.vi.advanceTimersByTimeAsync(ms),
     task: (key: string): workflowState.TaskView | undefined => {
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -25,6 +25,12 @@
 /** Interval of the checks for lost workers and runs to stop, in milliseconds. */
 const SWEEP_INTERVAL_MS = 100
 
+/**
+ * Time between two sweeps after which silence counts from the later one, in milliseconds: two turns of 0.5 s of a busy
+ * loop. This process was frozen or its lease void, so that reports of that time are unread or were dropped.
+ */
+const MAX_SWEEP_GAP_MS = 1_000
+
 const FULL_PERCENT = 100
 
 type TaskRun = protocol.workflow.TaskRun
@@ -62,7 +68,9 @@
 ): LeaderTerm => {
   const { logger, timing } = ctx.options
   const { view, nowMs } = ctx
-  const startedMs = nowMs()
+  /** Since when this term hears its workers. */
+  let listeningSinceMs = nowMs()
+  let sweptMs = listeningSinceMs
   const byAgent = new Map<string, sessions.WorkerSession>()
   /** Worker incarnations that this term has heard of, with the time of their newest list. */
   const listedMs = new Map<string, number>()
@@ -426,6 +434,8 @@
     endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
     const now = nowMs()
+    if (now - sweptMs > MAX_SWEEP_GAP_MS) listeningSinceMs = now
+    sweptMs = now
     const workers = eligibleWorkers()
     const places = scheduling.createFillingPlaces({
       view,
@@ -434,7 +444,7 @@
       fillerRank: ranks.rankOf,
     })
     for (const [key, load] of view.loads) {
-      const heardMs = listedMs.get(key) ?? startedMs
+      const heardMs = Math.max(listedMs.get(key) ?? listeningSinceMs, listeningSinceMs)
       if (now - heardMs > timing.workerLostMs) {
         declareLost(load, `no list for ${Math.round(now - heardMs)} ms`)
         sessionOf(key)?.stop([...load.runs.values()].map(runOf))
