fix(workflow-agent): give no order to a worker that may have started again under its id

Orders name a worker's id only. The agent repeated an order without an answer every 60 ms, so that a worker which came back under its id carried it out before its next list named the new incarnation. Its clock begins again, so the lease in the order counted as the longest possible one from that moment, while the leader's wait for the old incarnation counts from the last list before the crash. If the agent then could not report, the leader assigned the task again while it still ran. The call for the list carried the highest acknowledged end of the old incarnation as well, which lets the new one forget ends whose numbers begin at 1 again.

After a call without an answer the agent now waits for a list of the incarnation before it gives or repeats an order, and the call for that list acknowledges nothing.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -14,6 +14,9 @@
 /** Longer than the pauses of the agent between two calls, in milliseconds. */
 const QUIET_MS = 300
 
+/** Time for its first lists of a worker that started again, in milliseconds; orders are repeated sooner. */
+const SLOW_LIST_MS = 200
+
 type AttachCall = grpc.ServerDuplexStream<
   protocol.workflow.WorkerReport,
   protocol.workflow.WorkerOrders
@@ -55,6 +58,9 @@
       const given = protocol.workflow.StartOrder.fromPartial({ pacePercent: 100 })
       send({ starts: [{ ...given, run: RUN, ...order }] })
     },
+    acknowledgeEnd: (number: number): void => {
+      send({ acknowledgedEnd: number })
+    },
     /** Says that every report so far was processed. */
     acknowledge: (): void => {
       send({ sequence: reports.at(-1)?.sequence ?? 0 })
@@ -68,25 +74,45 @@
 /** Worker whose answers to starts are given in advance; the last one is repeated. */
 const createWorker = (answers: readonly runners.StartAnswer[]) => {
   const paces: number[] = []
+  /** Ends that each call for a list acknowledges, with the incarnation that it reaches. */
+  const acknowledged: (readonly [bornMs: number, acknowledgedEnd: number])[] = []
+  const worker = { bornMs: 1, isDown: false }
   let startCalls = 0
   const runner: runners.Runner = {
     start: () => {
       startCalls += 1
+      if (worker.isDown) return Promise.resolve({ kind: 'unanswered' })
       const answer = answers[Math.min(startCalls, answers.length) - 1]
       return Promise.resolve(answer ?? { kind: 'unanswered' })
     },
     stop: () => Promise.resolve('done'),
-    list: async (_, { waitMs }) => {
-      await timers.setTimeout(Math.min(waitMs, 20))
+    list: async (_, { waitMs, acknowledgedEnd }) => {
+      await timers.setTimeout(worker.bornMs > 1 ? SLOW_LIST_MS : Math.min(waitMs, 20))
+      const { bornMs, isDown } = worker
+      if (isDown) return { kind: 'unanswered' }
+      acknowledged.push([bornMs, acknowledgedEnd])
       const clockMs = Math.round(performance.now())
-      return { kind: 'list', list: { bornMs: 1, clockMs, running: [], ended: [] } }
+      return { kind: 'list', list: { bornMs, clockMs, running: [], ended: [] } }
     },
     pace: (_identity, _run, percent) => {
       paces.push(percent)
       return Promise.resolve('done')
     },
   }
-  return { runner, paces, startCalls: () => startCalls }
+  return {
+    runner,
+    paces,
+    acknowledged,
+    startCalls: () => startCalls,
+    crash: (): void => {
+      worker.isDown = true
+    },
+    /** Starts again under its id. */
+    startAgain: (): void => {
+      worker.bornMs += 1
+      worker.isDown = false
+    },
+  }
 }
 
 const closers: (() => void)[] = []
@@ -158,4 +184,44 @@
     await timers.setTimeout(QUIET_MS)
     expect(worker.paces).toEqual(paces)
   })
+
+  it('guards against an order for a worker that reaches it after it started again under its id', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.crash()
+    leader.start({})
+    await vitest.vi.waitUntil(() => worker.startCalls() > 0)
+    await timers.setTimeout(QUIET_MS)
+    const before = worker.startCalls()
+    worker.startAgain()
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.worker?.identity?.bornMs === 2)
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(before)
+  })
+
+  it('guards against a first order that a worker gets before it is known to have started again', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.crash()
+    await timers.setTimeout(QUIET_MS)
+    leader.start({})
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(0)
+  })
+
+  it('guards against ends that a worker which started again forgets because those before it were acknowledged', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    leader.acknowledgeEnd(57)
+    await vitest.vi.waitUntil(() => worker.acknowledged.some(([, number]) => number === 57))
+    worker.crash()
+    await timers.setTimeout(QUIET_MS)
+    worker.startAgain()
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.worker?.identity?.bornMs === 2)
+    const forgotten = worker.acknowledged.filter(([bornMs, number]) => bornMs === 2 && number > 0)
+    expect(forgotten).toEqual([])
+  })
+
+  it('repeats an order without an answer once the worker has listed its runs', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'unanswered' }, { kind: 'started' }])
+    leader.start({})
+    await vitest.vi.waitUntil(() => worker.startCalls() === 2)
+  })
 })
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -37,6 +37,11 @@
   readonly fence: () => number
   readonly leaseUntilMs: () => number
   readonly mayStart: () => boolean
+  /**
+   * Whether this incarnation answered the newest call for a list. After a call without an answer the worker may have
+   * started again under its id, and orders name only that.
+   */
+  readonly isAnswering: () => boolean
   /** Resolves with the next list whose call begins after this moment; undefined if the table was closed. */
   readonly nextList: () => Promise<runners.WorkerList | undefined>
   readonly onRejected: (rejection: protocol.workflow.Rejection) => void
@@ -128,6 +133,7 @@
     const { order, run } = entry
     // A repeated order may have been given by an agent process before this one, with an outcome that only it knew.
     let uncertain = order.repeated
+    let isUnanswered = false
     const refuse = async (reason: protocol.workflow.RejectionReason): Promise<void> => {
       // An earlier order without an answer may still be carried out.
       if (uncertain) await withdraw(run, reason)
@@ -142,6 +148,12 @@
         await refuse(RejectionReason.UNAVAILABLE)
         return
       }
+      if (isUnanswered || !options.isAnswering()) {
+        // A later incarnation would carry the order out under a lease of its own clock, which the leader does not know.
+        if ((await options.nextList()) === undefined) return
+        isUnanswered = false
+        continue
+      }
       const leaseUntilMs = options.leaseUntilMs()
       if (leaseUntilMs === 0) {
         await timers.setTimeout(REPEAT_PAUSE_MS)
@@ -157,6 +169,7 @@
       }
       if (answer.kind === 'unanswered') {
         uncertain = true
+        isUnanswered = true
         await timers.setTimeout(REPEAT_PAUSE_MS)
         continue
       }
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -70,6 +70,8 @@
   leaseUntilMs: number
   acknowledgedEnd: number
   list: runners.WorkerList | undefined
+  /** Whether the worker answered the newest call for a list as this incarnation. */
+  isAnswering: boolean
   sample: number
   alarm: scheduling.Alarm
   ended: boolean
@@ -211,6 +213,7 @@
       return
     }
     current.list = list
+    current.isAnswering = true
     current.sample += 1
     current.table.note(list)
     for (const waiter of current.servedWaiters.splice(0)) waiter(list)
@@ -225,12 +228,14 @@
         continue
       }
       const { worker } = current.announcement
+      const { isAnswering } = current
       current.servedWaiters.push(...current.listWaiters.splice(0))
       const answer = await runner.list(worker.identity, {
         fence,
-        acknowledgedEnd: current.acknowledgedEnd,
+        // A later incarnation under this id would forget ends of its own, whose numbers begin at 1 again.
+        acknowledgedEnd: isAnswering ? current.acknowledgedEnd : 0,
         leaseUntilMs: current.leaseUntilMs > 0 ? current.leaseUntilMs : undefined,
-        waitMs: current.servedWaiters.length > 0 || current.sample === 0 ? 0 : LIST_WAIT_MS,
+        waitMs: current.servedWaiters.length > 0 || !isAnswering ? 0 : LIST_WAIT_MS,
       })
       if (life !== current) return
       if (answer.kind === 'list') {
@@ -240,6 +245,7 @@
         if (isPending) await timers.setTimeout(COMMIT_PAUSE_MS)
         continue
       }
+      current.isAnswering = false
       if (answer.kind === 'fence') stream.restart('the worker has seen a higher fence')
       await timers.setTimeout(LIST_PAUSE_MS)
     }
@@ -263,6 +269,7 @@
       fence: () => fence ?? 0,
       leaseUntilMs: () => begun.leaseUntilMs,
       mayStart: () => !begun.announcement.draining && !begun.ended && stream.isAttached(),
+      isAnswering: () => begun.isAnswering,
       nextList: () =>
         new Promise((resolve) => {
           if (begun.ended) resolve(undefined)
@@ -285,6 +292,7 @@
       leaseUntilMs: 0,
       acknowledgedEnd: 0,
       list: undefined,
+      isAnswering: false,
       sample: 0,
       alarm: scheduling.NO_ALARM,
       ended: false,
