--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -18,6 +18,9 @@
 /** Interval of the agent's lists without an acknowledgement, in milliseconds. */
 const LIST_INTERVAL_MS = 400
 
+/** Time for its first lists of a worker that started again, in milliseconds; orders are repeated sooner. */
+const SLOW_LIST_MS = 200
+
 type AttachCall = grpc.ServerDuplexStream<
   protocol.workflow.WorkerReport,
   protocol.workflow.WorkerOrders
@@ -83,12 +86,17 @@
 /** Worker whose answers to starts are given in advance; the last one is repeated. */
 const createWorker = (answers: readonly runners.StartAnswer[]) => {
   const paces: number[] = []
+  /** The acknowledged number of each list call. */
   const acknowledgedEnds: number[] = []
   let ended: readonly protocol.workflow.ListedEnd[] = []
+  /** Ends that each call for a list acknowledges, with the incarnation that it reaches. */
+  const acknowledged: (readonly [bornMs: number, acknowledgedEnd: number])[] = []
+  const worker = { bornMs: 1, isDown: false }
   let startCalls = 0
   const runner: runners.Runner = {
     start: () => {
       startCalls += 1
+      if (worker.isDown) return Promise.resolve({ kind: 'unanswered' })
       const answer = answers[Math.min(startCalls, answers.length) - 1]
       return Promise.resolve(answer ?? { kind: 'unanswered' })
     },
@@ -96,9 +104,13 @@
     list: async (_, { waitMs, acknowledgedEnd }) => {
       acknowledgedEnds.push(acknowledgedEnd)
       ended = ended.filter(({ number }) => number > acknowledgedEnd)
-      if (ended.length === 0) await timers.setTimeout(Math.min(waitMs, 20))
+      const pauseMs = ended.length === 0 ? Math.min(waitMs, 20) : 0
+      await timers.setTimeout(worker.bornMs > 1 ? SLOW_LIST_MS : pauseMs)
+      const { bornMs, isDown } = worker
+      if (isDown) return { kind: 'unanswered' }
+      acknowledged.push([bornMs, acknowledgedEnd])
       const clockMs = Math.round(performance.now())
-      return { kind: 'list', list: { bornMs: 1, clockMs, running: [], ended } }
+      return { kind: 'list', list: { bornMs, clockMs, running: [], ended } }
     },
     pace: (_identity, _run, percent) => {
       paces.push(percent)
@@ -108,14 +120,22 @@
   return {
     runner,
     paces,
+    acknowledged,
+    acknowledgedEnds,
     startCalls: () => startCalls,
     /** Lets another run end, which lists show until its number is acknowledged. */
     endRun: (number: number): void => {
       const run = { ...RUN, index: number }
       ended = [...ended, { number, end: { run, kind: EndKind.COMPLETED, checkpoint: '' } }]
     },
-    /** The acknowledged number of each list call. */
-    acknowledgedEnds,
+    crash: (): void => {
+      worker.isDown = true
+    },
+    /** Starts again under its id. */
+    startAgain: (): void => {
+      worker.bornMs += 1
+      worker.isDown = false
+    },
   }
 }
 
@@ -235,4 +255,44 @@
     await vitest.vi.waitUntil(() => leader.reports.length > before)
     expect(leader.reports[before]?.ended).toHaveLength(1)
   })
+
+  it('guards against an order for a worker that reaches it after it started again under its id', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.crash()
+    leader.start({})
+    await vitest.vi.waitUntil(() => worker.startCalls() > 0)
+    await timers.setTimeout(QUIET_MS)
+    const before = worker.startCalls()
+    worker.startAgain()
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.worker?.identity?.bornMs === 2)
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(before)
+  })
+
+  it('guards against a first order that a worker gets before it is known to have started again', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.crash()
+    await timers.setTimeout(QUIET_MS)
+    leader.start({})
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(0)
+  })
+
+  it('guards against ends that a worker which started again forgets because those before it were acknowledged', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    leader.commit(57)
+    await vitest.vi.waitUntil(() => worker.acknowledged.some(([, number]) => number === 57))
+    worker.crash()
+    await timers.setTimeout(QUIET_MS)
+    worker.startAgain()
+    await vitest.vi.waitUntil(() => leader.reports.at(-1)?.worker?.identity?.bornMs === 2)
+    const forgotten = worker.acknowledged.filter(([bornMs, number]) => bornMs === 2 && number > 0)
+    expect(forgotten).toEqual([])
+  })
+
+  it('repeats an order without an answer once the worker has listed its runs', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'unanswered' }, { kind: 'started' }])
+    leader.start({})
+    await vitest.vi.waitUntil(() => worker.startCalls() === 2)
+  })
 })
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -78,6 +78,8 @@
   /** Pause of the list loop until the listed ends are acknowledged or someone waits for a list. */
   readonly acknowledgement: pauses.Pause
   list: runners.WorkerList | undefined
+  /** Whether the worker answered the newest call for a list as this incarnation. */
+  isAnswering: boolean
   sample: number
   alarm: scheduling.Alarm
   ended: boolean
@@ -220,6 +222,7 @@
       return
     }
     current.list = list
+    current.isAnswering = true
     current.sample += 1
     current.table.note(list)
     for (const waiter of current.servedWaiters.splice(0)) waiter(list)
@@ -234,12 +237,14 @@
         continue
       }
       const { worker } = current.announcement
+      const { isAnswering } = current
       current.servedWaiters.push(...current.listWaiters.splice(0))
       const answer = await runner.list(worker.identity, {
         fence,
-        acknowledgedEnd: current.acknowledgedEnd,
+        // A later incarnation under this id would forget ends of its own, whose numbers begin at 1 again.
+        acknowledgedEnd: isAnswering ? current.acknowledgedEnd : 0,
         leaseUntilMs: current.leaseUntilMs > 0 ? current.leaseUntilMs : undefined,
-        waitMs: current.servedWaiters.length > 0 || current.sample === 0 ? 0 : LIST_WAIT_MS,
+        waitMs: current.servedWaiters.length > 0 || !isAnswering ? 0 : LIST_WAIT_MS,
       })
       if (life !== current) return
       if (answer.kind === 'list') {
@@ -252,6 +257,7 @@
         }
         continue
       }
+      current.isAnswering = false
       if (answer.kind === 'fence') stream.restart('the worker has seen a higher fence')
       await timers.setTimeout(LIST_PAUSE_MS)
     }
@@ -276,6 +282,7 @@
       fence: () => fence ?? 0,
       leaseUntilMs: () => begun.leaseUntilMs,
       mayStart: () => !begun.announcement.draining && !begun.ended && stream.isAttached(),
+      isAnswering: () => begun.isAnswering,
       nextList: () =>
         new Promise((resolve) => {
           if (begun.ended) resolve(undefined)
@@ -303,6 +310,7 @@
       listedEnd: 0,
       acknowledgement: pauses.createPause(),
       list: undefined,
+      isAnswering: false,
       sample: 0,
       alarm: scheduling.NO_ALARM,
       ended: false,
