fix(workflow-state): count a failed end of a run that was recorded as lost

A run that failed before its worker counted as lost lists that end afterwards.

Cause: an end of a run that is no longer assigned counted only when it completed the task. Late failures now count as an attempt while the task waits or is assigned again. Gangs and lasting tasks are left out, and so is a failure older than one that counted.

--- a/packages/workflow-control/src/endIntake.ts
+++ b/packages/workflow-control/src/endIntake.ts
@@ -20,7 +20,7 @@
   /** Incarnation that holds a run which `session` says ended; undefined for none. */
   readonly holderOf: (session: sessions.WorkerSession, run: TaskRun) => WorkerIdentity | undefined
   /** Whether an end without a holder is recorded, under the identity that lists it. */
-  readonly isLateCompletion: (end: RunEnd) => boolean
+  readonly isLateEnd: (end: RunEnd) => boolean
   /** Newest checkpoint that is known of a run. */
   readonly checkpointOf: (run: TaskRun) => string
   /** Learns from an end, once for each. */
@@ -127,7 +127,7 @@
       }
       const current = options.holderOf(session, end.run)
       if (current === undefined) withoutHolder.push(end)
-      const holder = current ?? (options.isLateCompletion(end) ? identity : undefined)
+      const holder = current ?? (options.isLateEnd(end) ? identity : undefined)
       if (holder === undefined) {
         withoutEffect.push(number)
         continue
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -289,7 +289,7 @@
       const active = activeRun(run)
       return active && holderOf(session, active)
     },
-    isLateCompletion: (end) => workflowState.isLateCompletion(view.jobs, end),
+    isLateEnd: (end) => workflowState.isLateEnd(view.jobs, end),
     checkpointOf,
     noteEnd,
     commit: commitEnds,
--- a/packages/workflow-state/__tests__/workflowState.spec.ts
+++ b/packages/workflow-state/__tests__/workflowState.spec.ts
@@ -310,6 +310,61 @@
   })
 })
 
+describe('a failed end of a run that was recorded as lost', () => {
+  const cases: readonly {
+    readonly name: string
+    readonly spec?: Partial<protocol.workflow.Step>
+    readonly before?: (subject: ReturnType<typeof support.createSubject>) => void
+    readonly failures: number
+    readonly job: string
+  }[] = [
+    { name: 'counts while the task waits', failures: 1, job: 'active' },
+    {
+      name: 'counts once the task is assigned again',
+      before: (subject) => {
+        subject.assign(worker('v'), 'j.0.0.0')
+      },
+      failures: 1,
+      job: 'active',
+    },
+    {
+      name: 'counts nothing of a lasting task',
+      spec: { lasting: true },
+      failures: 0,
+      job: 'active',
+    },
+    { name: 'counts nothing of a gang', spec: { gang: true }, failures: 0, job: 'active' },
+  ]
+
+  it.each(cases)('$name', ({ spec, before, failures, ...expected }) => {
+    const subject = support.createSubject()
+    subject.submit(job('j', [step(spec)]))
+    subject.assign(worker('w'), 'j.0.0.0')
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.LOST)
+    before?.(subject)
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.FAILED)
+    const restored = support.createSubject()
+    restored.state.restore(subject.state.snapshot())
+    for (const copy of [subject, restored]) {
+      // A leader that did not acknowledge it gets the same end again.
+      const repeated = copy.end(worker('w'), 'j.0.0.0#1', EndKind.FAILED)
+      expect(repeated).toEqual({ kind: 'ended', ignored: 1 })
+      expect(copy.task('j.0.0.0')?.failures).toBe(failures)
+      expect(copy.phase('j')).toBe(expected.job)
+    }
+  })
+
+  it('guards against a start after the last attempt', () => {
+    const subject = support.createSubject()
+    subject.submit(job('j', [step()]), support.queue({ maxAttempts: 1 }))
+    subject.assign(worker('w'), 'j.0.0.0')
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.LOST)
+    subject.end(worker('w'), 'j.0.0.0#1', EndKind.FAILED)
+    expect(subject.phase('j')).toBe('failed')
+    expect(subject.assign(worker('w'), 'j.0.0.0')).toEqual([])
+  })
+})
+
 describe('jobs and configuration', () => {
   it('guards against a second job for a repeated submission', () => {
     const subject = support.createSubject()
--- a/packages/workflow-state/src/ends.ts
+++ b/packages/workflow-state/src/ends.ts
@@ -66,6 +66,7 @@
   task: records.TaskRecord,
   nowMs: number,
 ): void => {
+  task.failedRun = task.run
   release(context, step, task, false)
   if (step.spec.lasting) return
   // The failures of a gang are those of the gang, whichever member failed.
@@ -81,7 +82,7 @@
  * the worker could report that it completed. The run number tells that no other run was assigned since. A gang ends as
  * a whole, and a lasting task has no end of its own, so neither is completed in this way.
  */
-export const isLateCompletion = (
+const isLateCompletion = (
   jobs: types.WorkflowView['jobs'],
   { run, kind }: protocol.workflow.RunEnd,
 ): boolean => {
@@ -95,6 +96,43 @@
   return task?.phase === 'waiting' && task.run > 0 && task.run === run.run
 }
 
+/**
+ * Whether a failed end belongs to a run that was released in another way, for example as lost, before the worker could
+ * report the failure. It counts as an attempt all the same, once for each run. A gang fails as a whole, and a lasting task
+ * has no limit of attempts.
+ */
+const isLateFailure = (
+  jobs: types.WorkflowView['jobs'],
+  { run, kind }: protocol.workflow.RunEnd,
+): boolean => {
+  if (run === undefined || kind !== EndKind.FAILED) return false
+  const job = jobs.get(run.job)
+  const step = job?.occurrences.get(run.occurrence)?.steps[run.step]
+  if (job?.phase !== 'active' || step === undefined) return false
+  if (step.spec.gang || step.spec.lasting) return false
+  const task = step.tasks[run.index]
+  if (task === undefined || task.phase === 'completed' || run.run <= task.failedRun) return false
+  return task.phase === 'waiting' ? run.run <= task.run : run.run < task.run
+}
+
+/** Whether an end of a run that is no longer assigned has an effect. */
+export const isLateEnd = (
+  jobs: types.WorkflowView['jobs'],
+  end: protocol.workflow.RunEnd,
+): boolean => isLateCompletion(jobs, end) || isLateFailure(jobs, end)
+
+const failLate = (
+  context: workflowState.StateContext,
+  { job }: records.StepRecord,
+  task: records.TaskRecord,
+  run: number,
+  nowMs: number,
+): void => {
+  task.failedRun = run
+  task.failures += 1
+  if (task.failures >= job.queue.maxAttempts) workflowState.endJob(context, job, 'failed', nowMs)
+}
+
 const completeWaiting = (
   context: workflowState.StateContext,
   step: records.StepRecord,
@@ -123,6 +161,10 @@
     completeWaiting(context, step, task, nowMs)
     return true
   }
+  if (isLateFailure(context.jobs, end)) {
+    failLate(context, step, task, run.run, nowMs)
+    return true
+  }
   if (task.phase !== 'assigned' || task.run !== run.run) return false
   if (task.worker === undefined) return false
   if (keys.workerKey(task.worker) !== keys.workerKey(worker)) return false
--- a/packages/workflow-state/src/index.ts
+++ b/packages/workflow-state/src/index.ts
@@ -1,6 +1,6 @@
 /** Replicated state machine of queues, graph jobs and the runs of their tasks. */
 export * from './configuration.js'
-export { isLateCompletion } from './ends.js'
+export { isLateEnd } from './ends.js'
 export * from './keys.js'
 export * from './spec.js'
 export * from './types.js'
--- a/packages/workflow-state/src/records.ts
+++ b/packages/workflow-state/src/records.ts
@@ -45,6 +45,7 @@
   phase: 'waiting',
   run: 0,
   failures: 0,
+  failedRun: 0,
   checkpoint: '',
   worker: undefined,
 })
--- a/packages/workflow-state/src/snapshot.ts
+++ b/packages/workflow-state/src/snapshot.ts
@@ -31,6 +31,7 @@
     phase: taskPhases.indexOf(task.phase),
     run: task.run,
     failures: task.failures,
+    failedRun: task.failedRun,
     checkpoint: task.checkpoint,
     worker: task.worker === undefined ? 0 : (positions.get(keys.workerKey(task.worker)) ?? 0),
   })
@@ -68,6 +69,7 @@
     task.phase = taskPhases[saved.phase] ?? 'waiting'
     task.run = saved.run
     task.failures = saved.failures
+    task.failedRun = saved.failedRun
     task.checkpoint = saved.checkpoint
     if (task.run > 0) step.job.hasRun = true
     const worker = workers[saved.worker - 1]
--- a/packages/workflow-state/src/types.ts
+++ b/packages/workflow-state/src/types.ts
@@ -11,6 +11,8 @@
   readonly run: number
   /** Runs that ended as failed. */
   readonly failures: number
+  /** Latest run whose failure was counted; 0 for none. */
+  readonly failedRun: number
   /** Checkpoint from which the next run resumes; empty for none. */
   readonly checkpoint: string
   /** Incarnation that holds the current run. */
