feat(workflow-control): log why serving steps wait for a worker

A step that serves and of which nothing was assigned for a second is logged with the number of workers that lack each of them, and of those that have the processors but lack memory which fillers hold. The line is repeated every 5 s.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -15,6 +15,7 @@
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
 import * as runProgress from './runProgress.js'
+import * as waitMonitors from './waitMonitor.js'
 import * as sessions from './workerSession.js'
 
 const { EndKind, RejectionReason } = protocol.workflow
@@ -425,6 +426,7 @@
   const sweep = (): void => {
     endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
+    waitMonitor.sweep()
     const now = nowMs()
     const workers = eligibleWorkers()
     const places = scheduling.createFillingPlaces({
@@ -507,6 +509,8 @@
     start: sendStarts,
   })
 
+  const waitMonitor = waitMonitors.createWaitMonitor({ logger, view, nowMs, eligibleWorkers })
+
   const sweepTimer = setInterval(() => {
     ctx.work.measure('sweep', sweep)
   }, SWEEP_INTERVAL_MS)
