feat(workflow-control): account for the time of tasks that fill

It is logged when the job ends (filling job ended) and summed in metrics (filler_*_seconds_total). No decision changes.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -12,6 +12,7 @@
 import * as endsUnderWay from './endsUnderWay.js'
 import * as fillerPacing from './fillerPacing.js'
 import * as fillerRanks from './fillerRanks.js'
+import * as fillerTimes from './fillerTimes.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
 import * as runProgress from './runProgress.js'
@@ -77,6 +78,7 @@
   const disturbance = scheduling.createDisturbance()
   const underWay = endsUnderWay.createEndsUnderWay()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
+  const times = fillerTimes.createFillerTimes({ view, nowMs, work: ctx.work, logger })
   const endMonitor = endMonitors.createEndMonitor({ logger, view, counter: endCounter, nowMs })
 
   const activeRun = (run: TaskRun): workflowState.ActiveRun | undefined => {
@@ -92,8 +94,10 @@
   const checkpointOf = (run: TaskRun): string =>
     checkpoints.get(workflowState.taskKey(run)) ?? activeRun(run)?.task.checkpoint ?? ''
 
-  const noteEnd = (worker: WorkerIdentity, { run, kind }: protocol.workflow.RunEnd): void => {
+  const noteEnd = (worker: WorkerIdentity, end: protocol.workflow.RunEnd): void => {
+    const { run, kind } = end
     if (run === undefined) return
+    times.end(end)
     const key = workflowState.taskKey(run)
     const now = nowMs()
     const seen = progress.end(run, kind !== EndKind.COMPLETED && checkpointOf(run) !== '')
@@ -251,6 +255,7 @@
         checkpoints.set(workflowState.taskKey(task.run), task.checkpoint)
       }
       progress.note(active, task, task.run, now)
+      times.note(active, task)
     }
     if (unknown.length === 0) return
     logger.info('worker runs what is not assigned to it', {
@@ -425,6 +430,7 @@
   const sweep = (): void => {
     endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
+    times.sweep()
     const now = nowMs()
     const workers = eligibleWorkers()
     const places = scheduling.createFillingPlaces({
--- a/packages/workflow-control/src/loopWatch.ts
+++ b/packages/workflow-control/src/loopWatch.ts
@@ -32,7 +32,8 @@
   let logged = work.totals()
 
   const log = (latenessMs: number, now: number): void => {
-    const { counts, spentMs } = work.totals()
+    const totals = work.totals()
+    const { counts, spentMs } = totals
     logger.warn('loop late', {
       latenessMs: Math.round(latenessMs),
       // Of the time since the line before, or since the start.
@@ -46,7 +47,7 @@
       commits: counts.commits - logged.counts.commits,
     })
     loggedMs = now
-    logged = { counts, spentMs }
+    logged = totals
   }
 
   const tick = (): void => {
