fix(workflow-control): one line for a filling job that was cancelled

Only active jobs get an account now. The new case in fillerTimes.spec failed before the change with two lines instead of one.

--- a/packages/workflow-control/__tests__/fillerTimes.spec.ts
+++ b/packages/workflow-control/__tests__/fillerTimes.spec.ts
@@ -66,7 +66,10 @@
     const value = { worker: WORKER.identity, ends: [ended] }
     state.apply({ nowMs, body: { $case: 'ends', value } })
   }
-  return { assign, list, sweepAfter, end, lines, totals: () => work.totals().fillerMs }
+  const cancel = (): void => {
+    state.apply({ nowMs, body: { $case: 'cancel', value: { job: 'j' } } })
+  }
+  return { assign, cancel, list, sweepAfter, end, lines, totals: () => work.totals().fillerMs }
 }
 
 describe('time of the tasks that fill', () => {
@@ -97,6 +100,17 @@
     expect(cell.totals()).toMatchObject({ waiting: 1_000, paused: 400, working: 300 })
   })
 
+  it('guards against a second line for a job whose runs are still listed after its end', () => {
+    const cell = createCell()
+    cell.assign()
+    cell.list({ pacePercent: 100, figure: CLAIM_MILLIS })
+    cell.cancel()
+    cell.sweepAfter(0)
+    cell.list({ pacePercent: 100, figure: CLAIM_MILLIS })
+    cell.sweepAfter(0)
+    expect(cell.lines).toEqual([expect.objectContaining({ outcome: 'cancelled', workingMs: 0 })])
+  })
+
   it.each([
     { name: 'lost without a checkpoint', kind: EndKind.LOST, checkpoint: '', lost: 800 },
     { name: 'kept by a stop', kind: EndKind.STOPPED, checkpoint: 'c2', lost: 0 },
--- a/packages/workflow-control/src/fillerTimes.ts
+++ b/packages/workflow-control/src/fillerTimes.ts
@@ -62,7 +62,8 @@
       lost: 0,
     }
     const created: JobTimes = { spentMs, runs: 0, stops: 0, failures: 0, paceChanges: 0 }
-    jobs.set(job, created)
+    // Lists may still show runs of a job that was cancelled and logged.
+    if (view.jobs.get(job)?.phase === 'active') jobs.set(job, created)
     return created
   }
 
