--- a/packages/workflow-control/src/fillerPacing.ts
+++ b/packages/workflow-control/src/fillerPacing.ts
@@ -68,7 +68,8 @@
       if (tailTargetMs > 0) serving.push({ key, image, tailMs: figure, targetMs: tailTargetMs })
       else if (fills) {
         const { cpuMillis } = workflowState.claimOf(active.step.spec)
-        filling.push({ run, key, image, pacePercent, rank: rankOf(active.step), cpuMillis })
+        const rank = rankOf(active.step)
+        filling.push({ run, key, image, pacePercent, rank, cpuMillis, usedCpuMillis: figure })
       }
     }
     return { serving, filling, leftCpuMillis: options.leftCpuMillis(session) }
--- a/packages/workflow-scheduling/__tests__/pacing.spec.ts
+++ b/packages/workflow-scheduling/__tests__/pacing.spec.ts
@@ -210,6 +210,25 @@
     expect(disturbance.paces('w', neighbours, 0)).toEqual(expected)
   })
 
+  it('guards against fillers that stand still beside processors which are reserved and not used', () => {
+    const pacesOf = (usedCpuMillis: number): readonly number[] => {
+      const disturbance = scheduling.createDisturbance()
+      const filling = [0, 2, 1].map((rank) => ({
+        key: `f${rank}`,
+        image: 'f',
+        rank,
+        pacePercent: 100,
+        cpuMillis: 2_000,
+        usedCpuMillis,
+      }))
+      const neighbours = { serving: [], filling, leftCpuMillis: 0 }
+      disturbance.observe('w', neighbours, 0)
+      return disturbance.paces('w', neighbours, 0)
+    }
+    expect(pacesOf(2_000)).toEqual([100, 100, 100])
+    expect(pacesOf(1_000)).toEqual([100, 0, 50])
+  })
+
   it.each([
     { name: 'counts what later ones would yield', rank: 0, least: 2, most: Infinity },
     { name: 'leaves room to paused ones that go before it', rank: 9, least: 0, most: 1.2 },
--- a/packages/workflow-scheduling/src/neighbours.ts
+++ b/packages/workflow-scheduling/src/neighbours.ts
@@ -19,6 +19,8 @@
   readonly rank?: number
   /** Processors that it uses at full pace. @default 0 */
   readonly cpuMillis?: number
+  /** Processors that it used in the last half second. @default 0 */
+  readonly usedCpuMillis?: number
 }
 
 /** What runs on one worker, from one list. */
--- a/packages/workflow-scheduling/src/paces.ts
+++ b/packages/workflow-scheduling/src/paces.ts
@@ -18,6 +18,9 @@
 
 const FULL_PERCENT = 100
 
+/** Share of the processors that their paces ask for below which fillers are short of them; figures are rough. */
+const SHORT_SHARE = 0.85
+
 /** Pace of a filler that is tried again, in percent: enough of a change to learn from. */
 const PROBE_PERCENT = 45
 
@@ -160,9 +163,20 @@
     return true
   }
 
-  /** Pauses the last ones where all together would only share the processors: each would end later than it could. */
+  /**
+   * Pauses the last ones where all together would only share the processors: each would end later than it could. What other
+   * tasks reserve binds only as far as the fillers get less than their paces ask for, since serving tasks use a part of it.
+   */
   const boundByProcessors = (chosen: number[], { filling, leftCpuMillis }: Place): void => {
-    let leftMillis = leftCpuMillis ?? Number.POSITIVE_INFINITY
+    let pacedMillis = 0
+    let usedMillis = 0
+    for (const { pacePercent, cpuMillis = 0, usedCpuMillis = 0 } of filling) {
+      pacedMillis += cpuMillis * (pacePercent / FULL_PERCENT)
+      usedMillis += usedCpuMillis
+    }
+    const isShort = usedMillis < pacedMillis * SHORT_SHARE
+    const spareMillis = isShort ? 0 : Math.max(0, ...filling.map(({ cpuMillis = 0 }) => cpuMillis))
+    let leftMillis = Math.max(leftCpuMillis ?? Number.POSITIVE_INFINITY, usedMillis + spareMillis)
     const order = [...filling.keys()].sort((a, b) => rankOf(filling[a]) - rankOf(filling[b]))
     for (const index of order) {
       const claimMillis = filling[index]?.cpuMillis ?? 0
