fix(workflow-agent): give no order of an earlier leader under the lease of the next one

An order whose outcome was open stayed in the agent's table across a change of its stream. While the worker answered nothing, the agent waited for a list before it gave the order (again). If that took longer than the leader's wait for a silent worker, and the stop that goes with the loss was sent on a stream that was gone, or the leader had changed, nothing withdrew the order: the first list renewed the lease, and the agent gave the order with the lease and the fence of a leader that never gave it, while the next run of the task was running elsewhere.

Cause: the order was bound to the memory of the agent and not to the stream on which a leader gave it. Within one stream the stop for a lost run comes before any later lease.

The agent now drops its open orders when it follows another stream. The leader of that stream repeats the orders that it holds to with the first list, marked as repeated, so that they are barred before a refusal. The answer to an order that was dropped on the way is not reported, since the repeated order may start the run all the same. Refusals and stops that are being made certain go on.

Ruled out: orders on the old stream that arrive afterwards; they are ignored since it is closed. A stream that was silent and answers again is the same session and drops nothing.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -131,6 +131,10 @@
     crash: (): void => {
       worker.isDown = true
     },
+    /** Answers again as the same incarnation. */
+    answerAgain: (): void => {
+      worker.isDown = false
+    },
     /** Starts again under its id. */
     startAgain: (): void => {
       worker.bornMs += 1
@@ -290,6 +294,25 @@
     expect(forgotten).toEqual([])
   })
 
+  it('guards against an order of an earlier leader that the agent gives under the lease of the next one', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.crash()
+    leader.start({})
+    await timers.setTimeout(QUIET_MS)
+    const reports = leader.reports.length
+    leader.resign()
+    await vitest.vi.waitUntil(() => leader.reports.length > reports)
+    await timers.setTimeout(QUIET_MS)
+    const before = worker.startCalls()
+    const listed = leader.reports.at(-1)?.sample ?? 0
+    worker.answerAgain()
+    await vitest.vi.waitUntil(() => (leader.reports.at(-1)?.sample ?? 0) > listed)
+    await timers.setTimeout(QUIET_MS)
+    expect(worker.startCalls()).toBe(before)
+    leader.start({ repeated: true })
+    await vitest.vi.waitUntil(() => worker.startCalls() > before)
+  })
+
   it('repeats an order without an answer once the worker has listed its runs', async () => {
     const { leader, worker } = await createSubject([{ kind: 'unanswered' }, { kind: 'started' }])
     leader.start({})
--- a/packages/workflow-agent/src/leaderStream.ts
+++ b/packages/workflow-agent/src/leaderStream.ts
@@ -65,6 +65,8 @@
   /** From 0 to 1. @default Math.random */
   readonly random?: () => number
   readonly onOrders: (orders: protocol.workflow.WorkerOrders) => void
+  /** Orders come on another stream from now on; called before the first of them. @default nothing */
+  readonly onAdopted?: () => void
   /** A report is due: a stream is open, or the leader answers after a while. */
   readonly onReportDue: () => void
 }
@@ -227,6 +229,7 @@
     retryPauseMs = RETRY_PAUSE_MS
     patienceMs.delete(stream.address)
     book.confirm(stream.address)
+    options.onAdopted?.()
   }
 
   const resume = ({ address }: Stream): void => {
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -27,6 +27,8 @@
   orderedPercent: number
   stopRequested: boolean
   started: boolean
+  /** The worker refused the run, and the outcome is being made certain. */
+  isRefused: boolean
 }
 
 export interface RunTableOptions {
@@ -56,6 +58,11 @@
   readonly stop: (run: TaskRun) => void
   /** Drops runs that a list shows as ended, and notes those that run. */
   readonly note: (list: runners.WorkerList) => void
+  /**
+   * Gives no order any more whose outcome is open. The leader of a new stream repeats those that it holds to; the others
+   * may have been counted as lost meanwhile.
+   */
+  readonly dropOpenOrders: () => void
   readonly entryOf: (run: TaskRun) => RunEntry | undefined
   readonly close: () => void
 }
@@ -131,19 +138,21 @@
 
   const runStart = async (entry: RunEntry): Promise<void> => {
     const { order, run } = entry
+    const key = workflowState.runKey(run)
+    const isDropped = (): boolean => entries.get(key) !== entry
     // A repeated order may have been given by an agent process before this one, with an outcome that only it knew.
     let uncertain = order.repeated
     let isUnanswered = false
     const refuse = async (reason: protocol.workflow.RejectionReason): Promise<void> => {
+      entry.isRefused = true
       // An earlier order without an answer may still be carried out.
       if (uncertain) await withdraw(run, reason)
       else reject(run, reason)
       // A withdrawal that a higher fence ended without an outcome leaves the run to a repeated order.
-      const key = workflowState.runKey(run)
-      if (entries.get(key) === entry) entries.delete(key)
+      if (!isDropped()) entries.delete(key)
     }
     for (;;) {
-      if (closed || entry.started || entry.stopRequested) return
+      if (closed || entry.started || entry.stopRequested || isDropped()) return
       if (!options.mayStart()) {
         await refuse(RejectionReason.UNAVAILABLE)
         return
@@ -173,6 +182,8 @@
         await timers.setTimeout(REPEAT_PAUSE_MS)
         continue
       }
+      // A repeated order may start the run all the same.
+      if (isDropped()) return
       switch (answer.reason) {
         case 'late':
           await timers.setTimeout(REPEAT_PAUSE_MS)
@@ -187,10 +198,11 @@
           await refuse(RejectionReason.REFUSED)
           return
         case 'old':
+          entry.isRefused = true
           await settle(run, RejectionReason.REFUSED)
           return
         case 'fence':
-          entries.delete(workflowState.runKey(run))
+          entries.delete(key)
           options.onFenced()
           return
         case 'other-incarnation':
@@ -213,6 +225,7 @@
         orderedPercent: order.pacePercent,
         stopRequested: false,
         started: false,
+        isRefused: false,
       }
       entries.set(key, entry)
       void runStart(entry)
@@ -238,6 +251,11 @@
         if (entry !== undefined) entry.started = true
       }
     },
+    dropOpenOrders: () => {
+      for (const [key, { started, stopRequested, isRefused }] of entries) {
+        if (!started && !stopRequested && !isRefused) entries.delete(key)
+      }
+    },
     entryOf: (run) => entries.get(workflowState.runKey(run)),
     close: () => {
       closed = true
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -180,6 +180,7 @@
     nowMs,
     metrics: options.attachMetrics,
     onOrders,
+    onAdopted: () => life?.table.dropOpenOrders(),
     onReportDue: () => {
       for (const entry of rejections) entry.sentSequence = 0
       report()
