fix(workflow-agent): judge no order of an earlier incarnation by a lease of the next one

The leader has the runs of an earlier incarnation barred at the next one under the same id before it assigns them again. When the stop had no answer, the agent gave it up once the worker's clock had passed the newest lease, and reported the run as absent. That lease belongs to the clock of the next incarnation. An order to the earlier one carries a lease of its own clock, usually a far higher reading, and the worker takes it for the longest lease whenever it arrives, so that it could still start the run while the next one was running.

Cause: a lease that was given by one clock and judged on another.

The wait for a stop is now bounded by leases only when the agent has an order for the run, which a leader gave to this incarnation. Any other stop is repeated until it is answered or the worker counts as lost.

Ruled out: orders of an agent process before this one to the same incarnation; their leases are readings of the same clock, and older.

A stop that a worker never answers while it lists its runs is now repeated without end; that was not seen.

--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -374,6 +374,16 @@
     expect(subject.rejections).toEqual([])
   })
 
+  it('guards against a run of an earlier incarnation that counts as barred because a lease of this one is over', async () => {
+    const stops: runners.OrderAnswer[] = ['unanswered', 'unanswered', 'unanswered', 'done']
+    const subject = createSubject({ stops, listClockMs: () => 6_001 })
+    subject.note('absent')
+    subject.table.stop(RUN)
+    await settle(subject)
+    expect(subject.calls).toHaveLength(stops.length)
+    expect(subject.rejections).toHaveLength(1)
+  })
+
   it.each([
     {
       name: 'is repeated until it is answered, and waits for the end',
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -110,12 +110,16 @@
   }
 
   /**
-   * Stops a run, or bars it if it is not there yet, and waits until that is certain. The wait is bounded by the leases of
-   * the orders given before: a worker refuses an order whose lease is over.
+   * Stops a run, or bars it if it is not there yet, and waits until that is certain.
+   *
+   * @param isOrderedHere whether a leader gave orders for the run to this incarnation. Their leases then bound the wait:
+   * a worker refuses an order whose lease is over. One to an earlier incarnation carries a lease of another clock, which
+   * this incarnation takes for the longest one whenever the order arrives.
    */
   const withdraw = async (
     run: TaskRun,
     reason: protocol.workflow.RejectionReason,
+    isOrderedHere: boolean,
   ): Promise<void> => {
     // Leases count from readings of the worker's clock, so that neither this agent nor one before it gave an order with
     // a longer one. Undefined while no lease is known.
@@ -130,7 +134,7 @@
         return
       }
       if (answer === 'other-incarnation') return
-      if (ordersEndMs !== undefined && isAbsentAfter(ordersEndMs, run)) break
+      if (isOrderedHere && ordersEndMs !== undefined && isAbsentAfter(ordersEndMs, run)) break
       await timers.setTimeout(REPEAT_PAUSE_MS)
     }
     await settle(run, reason)
@@ -146,7 +150,7 @@
     const refuse = async (reason: protocol.workflow.RejectionReason): Promise<void> => {
       entry.isRefused = true
       // An earlier order without an answer may still be carried out.
-      if (uncertain) await withdraw(run, reason)
+      if (uncertain) await withdraw(run, reason, true)
       else reject(run, reason)
       // A withdrawal that a higher fence ended without an outcome leaves the run to a repeated order.
       if (!isDropped()) entries.delete(key)
@@ -236,7 +240,7 @@
       const entry = entries.get(key)
       if (entry !== undefined) entry.stopRequested = true
       stopping.add(key)
-      void withdraw(run, RejectionReason.ABSENT).finally(() => {
+      void withdraw(run, RejectionReason.ABSENT, entry !== undefined).finally(() => {
         stopping.delete(key)
         entries.delete(key)
       })
