--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -105,9 +105,10 @@
       acknowledgedEnds.push(acknowledgedEnd)
       ended = ended.filter(({ number }) => number > acknowledgedEnd)
       const pauseMs = ended.length === 0 ? Math.min(waitMs, 20) : 0
+      const wasDown = worker.isDown
       await timers.setTimeout(worker.bornMs > 1 ? SLOW_LIST_MS : pauseMs)
       const { bornMs, isDown } = worker
-      if (isDown) return { kind: 'unanswered' }
+      if (wasDown || isDown) return { kind: 'unanswered' }
       acknowledged.push([bornMs, acknowledgedEnd])
       const clockMs = Math.round(performance.now())
       return { kind: 'list', list: { bornMs, clockMs, running: [], ended } }
