test(model-check): orders under way between leader and agent, and cancellations, in the model of runs

Orders reached an agent in one step, so that no order could outlive its leader or its job in the model, and jobs were never cancelled.

Scenarios with streams now let an order pass the stream of a leader, the agent and the call to the worker in separate steps. A leader changes first, hears of each agent later, and each agent follows its stream later still; what an earlier leader sent or an agent holds stays under way meanwhile. An agent learns of a new lease from the leader that it follows only. The job has one step there, so that every order of events is visited. A job may be cancelled at any moment; the stop reaches its runs one by one.

Five guards join the six: open orders are dropped on another stream, lost runs are stopped before the lease is renewed, runs whose rejection is under way get no start, cancelled runs are barred before they count as ended, and a cancelled job gets no order. Two invariants join: no start on an order that was sent after the cancellation, and a run of a cancelled job that runs is held.

Not covered: restarts of workers while orders are under way.

--- a/packages/model-check/__tests__/runs.spec.ts
+++ b/packages/model-check/__tests__/runs.spec.ts
@@ -4,7 +4,8 @@
 const { describe, expect, test } = vitest
 
 const options = { maxStates: 40_000, nowMs: () => performance.now() }
-const noReattaching = { agentRestarts: 0, leaderChanges: 0 }
+const noReattaching = { agentRestarts: 0, leaderChanges: 0, cancels: 0 }
+const oneLeaderChange = { crashes: 0, failures: 0, leaderChanges: 1, refusals: 1 }
 const rows = modelCheck.runScenarios.map((scenario) => [scenario.name, scenario] as const)
 
 describe('runs of graph jobs', () => {
@@ -31,4 +32,17 @@
     const result = modelCheck.explore(model, { ...options, maxStates: 20_000 })
     expect(result.violation).toBeUndefined()
   })
+
+  // Guards against an order that outlives its leader or its job in a way that one fault alone does not show.
+  test.each([
+    { ...oneLeaderChange, agentRestarts: 0, cancels: 1, copies: 1, lapses: 0 },
+    { ...oneLeaderChange, agentRestarts: 0, cancels: 0, copies: 0, lapses: 1 },
+    { ...oneLeaderChange, agentRestarts: 1, cancels: 0, copies: 0, lapses: 0 },
+  ])('keep their promises with orders under way and several faults: %o', (budget) => {
+    const scenario = { name: 'orders under way', protection: 'waitForLease', budget } as const
+    const model = modelCheck.createRunModel({ ...scenario, hasStreams: true }, true)
+    const result = modelCheck.explore(model, options)
+    expect(result.violation).toBeUndefined()
+    expect(result.complete).toBe(true)
+  })
 })
--- a/packages/model-check/src/main.ts
+++ b/packages/model-check/src/main.ts
@@ -5,6 +5,7 @@
 import * as engine from './engine.js'
 import * as random from './randomRuns.js'
 import * as runModel from './runModel.js'
+import type * as runSteps from './runSteps.js'
 import * as runScenarios from './runScenarios.js'
 
 const nowMs = () => performance.now()
@@ -65,7 +66,7 @@
 }
 
 /** Explores one scenario of the runs of graph jobs with and without its protection. */
-const runRuns = (scenario: runModel.RunScenario): boolean => {
+const runRuns = (scenario: runSteps.RunScenario): boolean => {
   print(`${scenario.name} [${scenario.protection}]`)
   const options = { maxStates, nowMs }
   const on = engine.explore(runModel.createRunModel(scenario, true), options)
--- a/packages/model-check/src/runModel.ts
+++ b/packages/model-check/src/runModel.ts
@@ -2,136 +2,38 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as engine from './engine.js'
+import * as runSteps from './runSteps.js'
+import * as runStreams from './runStreams.js'
 import * as runWorld from './runWorld.js'
 
 type World = runWorld.RunWorld
 type Worker = runWorld.ModelWorker
 
 const { EndKind } = protocol.workflow
-
-/** How often each kind of fault may happen in one trace. */
-export interface RunBudget {
-  readonly crashes: number
-  /** Second copies of orders that had no answer. */
-  readonly copies: number
-  readonly refusals: number
-  readonly lapses: number
-  readonly failures: number
-  /** Agent processes that are killed and start again. */
-  readonly agentRestarts: number
-  readonly leaderChanges: number
-}
-
-export interface RunScenario {
-  readonly name: string
-  readonly protection: keyof runWorld.RunGuards
-  readonly budget: RunBudget
-}
-
-/** One enabled change of the world. */
-export interface RunAction {
-  readonly text: string
-  readonly apply: () => World
-}
+const { commit, endsOf, isSameRun, labelOf, replaceWorker, runsHeldBy } = runSteps
 
 const JOB = '5c0e7a21d94b36f8'
 const WORKER_IDS: readonly string[] = ['v', 'w']
 
-const labelOf = (run: runWorld.TaskRun): string => `${run.step}#${run.run}`
-
-const without = <T>(items: readonly T[], index: number): readonly T[] =>
-  items.filter((_, position) => position !== index)
-
-const replaceWorker = (world: World, worker: Worker): World => ({
-  ...world,
-  workers: world.workers.map((other) => (other.id === worker.id ? worker : other)),
-})
-
-const commit = (world: World, body: runWorld.Body): World => ({
-  ...world,
-  log: [...world.log, body],
-})
-
-const isSameRun = (a: runWorld.TaskRun, b: runWorld.TaskRun): boolean =>
-  workflowState.runKey(a) === workflowState.runKey(b)
-
-const bar = (worker: Worker, runs: readonly runWorld.TaskRun[]): Worker => {
-  const barred = { ...worker.barred }
-  for (const run of runs) {
-    const key = workflowState.taskKey(run)
-    barred[key] = Math.max(barred[key] ?? 0, run.run)
-  }
-  return {
-    ...worker,
-    barred,
-    running: worker.running.filter((run) => !runs.some((other) => isSameRun(run, other))),
-  }
-}
-
-const orderTo = (worker: Worker, run: runWorld.TaskRun, uncertain: boolean): runWorld.RunOrder => ({
-  run,
-  workerId: worker.id,
-  lease: worker.lease,
-  awaited: true,
-  uncertain,
-})
-
-/** Runs that the state machine holds for one incarnation. */
-const runsHeldBy = (
-  view: workflowState.WorkflowView,
-  id: string,
-  bornMs: number,
-): readonly runWorld.TaskRun[] =>
-  [...(view.loads.get(workflowState.workerKey({ id, bornMs }))?.runs.values() ?? [])].map(
-    ({ step, task }) => ({
-      job: step.job.spec.id,
-      occurrence: step.occurrence,
-      step: step.index,
-      index: task.index,
-      run: task.run,
-    }),
-  )
-
-/** Incarnation under which an end of a run is recorded; what a late order did at a later one counts. */
-const holderOf = (
-  view: workflowState.WorkflowView,
-  worker: Worker,
-  run: runWorld.TaskRun,
-): number => {
-  const task = view.jobs.get(run.job)?.occurrences.get(run.occurrence)?.steps[run.step]?.tasks[
-    run.index
-  ]
-  const holder = task?.run === run.run ? task.worker : undefined
-  return holder?.id === worker.id && holder.bornMs <= worker.bornMs ? holder.bornMs : worker.bornMs
-}
-
-const endsOf = (
-  worker: Pick<Worker, 'id'>,
-  bornMs: number,
-  runs: readonly runWorld.TaskRun[],
-  kind: protocol.workflow.EndKind,
-): runWorld.Body => ({
-  $case: 'ends',
-  value: {
-    worker: runWorld.identityOf(worker, bornMs),
-    ends: runs.map((run) => ({ run, kind, checkpoint: '' })),
-  },
-})
-
 /** Creates the model of a scenario; without its protection it has a counterexample. */
 export const createRunModel = (
-  scenario: RunScenario,
+  scenario: runSteps.RunScenario,
   isProtected: boolean,
-): engine.Model<World, RunAction> => {
-  const { budget } = scenario
+): engine.Model<World, runSteps.RunAction> => {
+  const { budget, hasStreams = false } = scenario
   const guards: runWorld.RunGuards = {
     ...runWorld.ALL_GUARDS,
     [scenario.protection]: isProtected,
   }
 
-  const assign = (world: World, view: workflowState.WorkflowView): readonly RunAction[] =>
+  const isReached =
+    (world: World) =>
+    (worker: Worker): boolean =>
+      !hasStreams || runSteps.isAttached(world, worker)
+
+  const assign = (world: World, view: workflowState.WorkflowView): readonly runSteps.RunAction[] =>
     [...view.readySteps].flatMap((step) =>
-      world.workers.map((worker) => {
+      world.workers.filter(isReached(world)).map((worker) => {
         const bornMs = world.known[worker.id] ?? 0
         const place = { job: JOB, occurrence: 0, step: step.index, index: 0, run: 0 }
         const value = {
@@ -145,10 +47,9 @@
             body: { $case: 'assign', value },
           })
           if (outcome.kind !== 'assigned') return committed
-          const orders = outcome.accepted.flatMap(({ task }) =>
-            task === undefined ? [] : [orderTo(worker, task, false)],
-          )
-          return { ...committed, orders: [...committed.orders, ...orders] }
+          return outcome.accepted
+            .flatMap(({ task: run }) => (run === undefined ? [] : [{ run, uncertain: false }]))
+            .reduce((sending, order) => streams.send(sending, worker, order), committed)
         }
         return { text: `step ${step.index} is assigned to ${worker.id}`, apply }
       }),
@@ -161,17 +62,20 @@
     const startedAgain = world.acknowledged.includes(key)
       ? [...world.startedAgain, key]
       : world.startedAgain
+    const startedCancelled = order.afterCancel
+      ? [...world.startedCancelled, key]
+      : world.startedCancelled
     const started = { ...worker, running: [...worker.running, order.run] }
-    return { ...replaceWorker(world, started), startedAgain }
+    return { ...replaceWorker(world, started), startedAgain, startedCancelled }
   }
 
-  const deliver = (world: World): readonly RunAction[] =>
+  const deliver = (world: World): readonly runSteps.RunAction[] =>
     world.orders.flatMap((order, index) => {
       const worker = world.workers.find(({ id }) => id === order.workerId)
-      if (worker === undefined) return []
+      if (worker === undefined || order.stage !== 'given') return []
       const label = `order ${labelOf(order.run)} to ${worker.id}`
-      const arrived = { ...world, orders: without(world.orders, index) }
-      const actions: RunAction[] = [
+      const arrived = { ...world, orders: runSteps.without(world.orders, index) }
+      const actions: runSteps.RunAction[] = [
         { text: `${label} arrives`, apply: () => start(arrived, worker, order) },
       ]
       if (!order.awaited) return actions
@@ -203,69 +107,97 @@
     const isThere = [...worker.running, ...worker.ends.map((listed) => listed.run)]
     if (isThere.some((other) => isSameRun(run, other))) return world
     const barred =
-      uncertain && guards.barUncertainOrders ? replaceWorker(world, bar(worker, [run])) : world
+      uncertain && guards.barUncertainOrders
+        ? replaceWorker(world, runSteps.bar(worker, [run]))
+        : world
+    return reject(barred, worker, run)
+  }
+
+  const reject = (world: World, worker: Worker, run: runWorld.TaskRun): World => {
     const { bornMs } = worker
     // Without agents that attach again nothing depends on the moment of the commit.
-    if (!isReattaching) return commit(barred, endsOf(worker, bornMs, [run], EndKind.REJECTED))
+    if (!isReattaching) return commit(world, endsOf(worker, bornMs, [run], EndKind.REJECTED))
     const rejection = { run, workerId: worker.id, bornMs, reported: true }
-    return { ...barred, rejections: [...world.rejections, rejection] }
+    return { ...world, rejections: [...world.rejections, rejection] }
   }
 
-  const recordRejections = (world: World): readonly RunAction[] =>
+  const recordRejections = (world: World): readonly runSteps.RunAction[] =>
     world.rejections.map(({ run, workerId, bornMs }, index) => ({
       text: `the rejection of ${labelOf(run)} by ${workerId} is recorded`,
-      apply: () =>
-        commit(
-          { ...world, rejections: without(world.rejections, index) },
-          endsOf({ id: workerId }, bornMs, [run], EndKind.REJECTED),
-        ),
+      apply: () => {
+        const rejections = runSteps.without(world.rejections, index)
+        const settled = streams.settleRejection({ ...world, rejections }, { id: workerId }, run)
+        return commit(settled, endsOf({ id: workerId }, bornMs, [run], EndKind.REJECTED))
+      },
     }))
 
   /** The agent of a worker attaches; the leader repeats the orders for the runs that the worker holds. */
-  const reattach = (world: World, worker: Worker): World => {
-    const { view } = runWorld.replay(world.log)
+  const repeatOrders = (world: World, worker: Worker): World => {
+    const view = runSteps.viewOf(world)
     const held = runsHeldBy(view, worker.id, world.known[worker.id] ?? 0)
     const isEnding = (run: runWorld.TaskRun): boolean =>
       guards.skipEndingRuns && world.rejections.some((other) => isSameRun(run, other.run))
+    // With streams the leader repeats an order that the agent has, which ignores it.
     const isAwaited = (run: runWorld.TaskRun): boolean =>
-      world.orders.some((order) => order.awaited && isSameRun(run, order.run))
-    const repeated = held
-      .filter((run) => !isEnding(run) && !isAwaited(run))
-      .map((run) => orderTo(worker, run, guards.markRepeatedOrders))
-    return { ...world, orders: [...world.orders, ...repeated] }
+      !hasStreams && world.orders.some((order) => order.awaited && isSameRun(run, order.run))
+    const isObsolete = (run: runWorld.TaskRun): boolean =>
+      guards.skipCancelledJobs && view.jobs.get(run.job)?.phase !== 'active'
+    return held
+      .filter((run) => !isEnding(run) && !isAwaited(run) && !isObsolete(run))
+      .map((run) => ({ run, uncertain: guards.markRepeatedOrders }))
+      .reduce((sending, order) => streams.send(sending, worker, order), world)
   }
 
-  const restartAgent = (world: World, worker: Worker): readonly RunAction[] => {
+  const streams = runStreams.createRunStreams({
+    guards,
+    budget,
+    hasStreams,
+    reject,
+    repeatOrders,
+  })
+
+  const restartAgent = (world: World, worker: Worker): readonly runSteps.RunAction[] => {
     if (world.agentRestarts >= budget.agentRestarts) return []
     const forgotten = {
       ...world,
       agentRestarts: world.agentRestarts + 1,
-      orders: world.orders.map((order) =>
-        order.workerId === worker.id ? { ...order, awaited: false } : order,
-      ),
       rejections: world.rejections.map((rejection) =>
         rejection.workerId === worker.id ? { ...rejection, reported: false } : rejection,
       ),
     }
     const text = `the agent of ${worker.id} is killed and starts again`
-    return [{ text, apply: () => reattach(forgotten, worker) }]
+    return [{ text, apply: () => repeatOrders(streams.restart(forgotten, worker), worker) }]
   }
 
-  const changeLeader = (world: World): readonly RunAction[] => {
+  const changeLeader = (world: World): readonly runSteps.RunAction[] => {
     if (world.leaderChanges >= budget.leaderChanges) return []
     const changed = {
       ...world,
       leaderChanges: world.leaderChanges + 1,
+      agents: Object.fromEntries(
+        world.workers.map((worker) => {
+          const agent = runSteps.agentOf(world, worker)
+          const lease = runSteps.isFollowing(world, worker) ? worker.lease : agent.lease
+          return [worker.id, { ...agent, lease }]
+        }),
+      ),
       rejections: world.rejections.filter(({ reported }) => reported),
     }
-    return [{ text: 'the leader changes', apply: () => world.workers.reduce(reattach, changed) }]
+    const text = 'the leader changes'
+    if (hasStreams) return [{ text, apply: () => changed }]
+    return [{ text, apply: () => world.workers.reduce(attachAtOnce, changed) }]
+  }
+
+  const attachAtOnce = (world: World, worker: Worker): World => {
+    const agent = { asked: world.leaderChanges, term: world.leaderChanges, lease: 0 }
+    return repeatOrders({ ...world, agents: { ...world.agents, [worker.id]: agent } }, worker)
   }
 
-  const end = (world: World, worker: Worker): readonly RunAction[] =>
+  const end = (world: World, worker: Worker): readonly runSteps.RunAction[] =>
     worker.running.flatMap((run) => {
       const ended = (completed: boolean): World =>
         replaceWorker(world, {
-          ...bar(worker, [run]),
+          ...runSteps.bar(worker, [run]),
           ends: [...worker.ends, { run, completed, lapsed: false }],
         })
       const completes = {
@@ -282,14 +214,14 @@
     })
 
   /** The worker may forget an end that is acknowledged; without a commit the leader can lose it with its term. */
-  const record = (world: World, worker: Worker): readonly RunAction[] => {
+  const record = (world: World, worker: Worker): readonly runSteps.RunAction[] => {
     if (worker.ends.length === 0) return []
     const apply = (): World => {
       const { view } = runWorld.replay(world.log)
       const committed = worker.ends
         .map(({ run, completed }) => {
           const kind = completed ? EndKind.COMPLETED : EndKind.FAILED
-          return endsOf(worker, holderOf(view, worker, run), [run], kind)
+          return endsOf(worker, runSteps.holderOf(view, worker, run), [run], kind)
         })
         .reduce(commit, world)
       const noted = guards.commitBeforeAcknowledge ? committed : world
@@ -303,7 +235,7 @@
     return [{ text: `the ends of ${worker.id} are recorded`, apply }]
   }
 
-  const crash = (world: World, worker: Worker): readonly RunAction[] => {
+  const crash = (world: World, worker: Worker): readonly runSteps.RunAction[] => {
     if (world.crashes >= budget.crashes) return []
     const reborn = { ...worker, bornMs: worker.bornMs + 1, running: [], ends: [], barred: {} }
     const apply = (): World => replaceWorker({ ...world, crashes: world.crashes + 1 }, reborn)
@@ -314,7 +246,7 @@
     world: World,
     worker: Worker,
     view: workflowState.WorkflowView,
-  ): readonly RunAction[] => {
+  ): readonly runSteps.RunAction[] => {
     const before = world.known[worker.id] ?? 0
     if (before >= worker.bornMs) return []
     const apply = (): World => {
@@ -322,7 +254,9 @@
       const runs = runsHeldBy(view, worker.id, before).filter(
         (run) => !worker.ends.some((listed) => isSameRun(listed.run, run)),
       )
-      const barred = guards.barOldIncarnation ? replaceWorker(world, bar(worker, runs)) : world
+      const barred = guards.barOldIncarnation
+        ? replaceWorker(world, runSteps.bar(worker, runs))
+        : world
       const known = { ...world.known, [worker.id]: worker.bornMs }
       return commit({ ...barred, known }, endsOf(worker, before, runs, EndKind.LOST))
     }
@@ -334,7 +268,7 @@
     world: World,
     worker: Worker,
     view: workflowState.WorkflowView,
-  ): readonly RunAction[] => {
+  ): readonly runSteps.RunAction[] => {
     if (world.lapses >= budget.lapses) return []
     const apply = (): World => {
       const bornMs = world.known[worker.id] ?? 0
@@ -348,7 +282,7 @@
           }
         : worker
       const silent = replaceWorker({ ...world, lapses: world.lapses + 1 }, lapsed)
-      return commit(silent, endsOf(worker, bornMs, runs, EndKind.LOST))
+      return commit(streams.stopLost(silent, worker), endsOf(worker, bornMs, runs, EndKind.LOST))
     }
     return [{ text: `${worker.id} is silent and its runs count as lost`, apply }]
   }
@@ -357,7 +291,7 @@
     name: scenario.name,
     initial: [
       {
-        log: [runWorld.submitChain(JOB)],
+        log: [runWorld.submitChain(JOB, hasStreams ? 1 : 2)],
         workers: WORKER_IDS.map((id) => ({
           id,
           bornMs: 1,
@@ -367,10 +301,12 @@
           barred: {},
         })),
         known: Object.fromEntries(WORKER_IDS.map((id) => [id, 1])),
+        agents: Object.fromEntries(WORKER_IDS.map((id) => [id, runSteps.FIRST_AGENT])),
         orders: [],
         rejections: [],
         acknowledged: [],
         startedAgain: [],
+        startedCancelled: [],
         crashes: 0,
         copies: 0,
         refusals: 0,
@@ -378,6 +314,7 @@
         failures: 0,
         agentRestarts: 0,
         leaderChanges: 0,
+        cancels: 0,
       },
     ],
     actions: (world) => {
@@ -387,6 +324,7 @@
         ...deliver(world),
         ...recordRejections(world),
         ...changeLeader(world),
+        ...streams.actions(world, view),
         ...world.workers.flatMap((worker) => [
           ...end(world, worker),
           ...record(world, worker),
@@ -416,6 +354,25 @@
         name: 'a completed task does not start again',
         check: ({ startedAgain }) => startedAgain[0] && `${startedAgain[0]} started again`,
       },
+      {
+        name: 'a cancelled job gets no order',
+        check: ({ startedCancelled }) =>
+          startedCancelled[0] && `${startedCancelled[0]} started after the cancellation`,
+      },
+      {
+        name: 'a run of a cancelled job is held until it has ended',
+        check: (world) => {
+          const job = runSteps.viewOf(world).jobs.get(JOB)
+          if (job?.phase !== 'cancelled') return undefined
+          const isHeld = ({ occurrence, step, index, run }: runWorld.TaskRun): boolean => {
+            const task = job.occurrences.get(occurrence)?.steps[step]?.tasks[index]
+            return task?.phase === 'assigned' && task.run === run
+          }
+          const running = world.workers.flatMap((worker) => worker.running)
+          const free = running.find((run) => !isHeld(run))
+          return free && `${workflowState.runKey(free)} runs and is not held`
+        },
+      },
       {
         name: 'a worker runs no more than its capacity',
         check: ({ workers }) => {
--- a/packages/model-check/src/runScenarios.ts
+++ b/packages/model-check/src/runScenarios.ts
@@ -1,6 +1,6 @@
-import type * as runModel from './runModel.js'
+import type * as runSteps from './runSteps.js'
 
-const NO_FAULTS: runModel.RunBudget = {
+const NO_FAULTS: runSteps.RunBudget = {
   crashes: 0,
   copies: 0,
   refusals: 0,
@@ -8,10 +8,11 @@
   failures: 0,
   agentRestarts: 0,
   leaderChanges: 0,
+  cancels: 0,
 }
 
 /** Scenarios of runs; each one shows what its protection prevents. */
-export const runScenarios: readonly runModel.RunScenario[] = [
+export const runScenarios: readonly runSteps.RunScenario[] = [
   {
     name: 'an end is forgotten by its worker and the leader changes before it is recorded',
     protection: 'commitBeforeAcknowledge',
@@ -42,4 +43,34 @@
     protection: 'waitForLease',
     budget: { ...NO_FAULTS, lapses: 1, failures: 1 },
   },
+  {
+    name: 'the leader changes while an agent holds an order for a silent worker',
+    protection: 'dropOpenOrders',
+    budget: { ...NO_FAULTS, leaderChanges: 1, lapses: 1 },
+    hasStreams: true,
+  },
+  {
+    name: 'a silent worker counts as lost while an order for it is under way',
+    protection: 'stopLostRuns',
+    budget: { ...NO_FAULTS, lapses: 1 },
+    hasStreams: true,
+  },
+  {
+    name: 'an order is refused while a new leader repeats it',
+    protection: 'skipRejectedRuns',
+    budget: { ...NO_FAULTS, leaderChanges: 1, refusals: 1 },
+    hasStreams: true,
+  },
+  {
+    name: 'a job is cancelled while an order is under way and the leader changes',
+    protection: 'barCancelledRuns',
+    budget: { ...NO_FAULTS, leaderChanges: 1, cancels: 1 },
+    hasStreams: true,
+  },
+  {
+    name: 'the leader changes after a cancellation',
+    protection: 'skipCancelledJobs',
+    budget: { ...NO_FAULTS, leaderChanges: 1, cancels: 1 },
+    hasStreams: true,
+  },
 ]
--- a/packages/model-check/src/runWorld.ts
+++ b/packages/model-check/src/runWorld.ts
@@ -19,6 +19,16 @@
   readonly barOldIncarnation: boolean
   /** A silent worker's runs end only after its lease has ended. */
   readonly waitForLease: boolean
+  /** An agent that follows another stream drops the orders whose outcome is open. */
+  readonly dropOpenOrders: boolean
+  /** The leader has runs that it counts as lost stopped before it renews the lease on the same stream. */
+  readonly stopLostRuns: boolean
+  /** An agent takes no order for a run whose rejection is on its way to the leader. */
+  readonly skipRejectedRuns: boolean
+  /** A run of a cancelled job that is not there is barred before it counts as ended. */
+  readonly barCancelledRuns: boolean
+  /** The leader repeats no order of a cancelled job. */
+  readonly skipCancelledJobs: boolean
 }
 
 export const ALL_GUARDS: RunGuards = {
@@ -28,12 +38,23 @@
   skipEndingRuns: true,
   barOldIncarnation: true,
   waitForLease: true,
+  dropOpenOrders: true,
+  stopLostRuns: true,
+  skipRejectedRuns: true,
+  barCancelledRuns: true,
+  skipCancelledJobs: true,
 }
 
 /** Order to start a run, on its way to a worker. */
 export interface RunOrder {
   readonly run: TaskRun
   readonly workerId: string
+  /** On the stream of a leader, held by the agent, or given to the worker. */
+  readonly stage: 'sent' | 'held' | 'given'
+  /** Leader on whose stream it was sent. */
+  readonly term: number
+  /** The job was cancelled before the order was sent. */
+  readonly afterCancel: boolean
   /** Lease of the worker that the order extends; a later one refuses it as late. */
   readonly lease: number
   /** The agent process that gave the order still waits for its answer. */
@@ -51,6 +72,16 @@
   readonly reported: boolean
 }
 
+/** What the agent of a worker knows of the leader. */
+export interface ModelAgent {
+  /** Newest leader that has answered a report of the agent; the agent may not have got the answer yet. */
+  readonly asked: number
+  /** Leader whose stream it follows. */
+  readonly term: number
+  /** Newest lease that a leader gave while it was the current one. */
+  readonly lease: number
+}
+
 export interface ListedEnd {
   readonly run: TaskRun
   readonly completed: boolean
@@ -74,19 +105,25 @@
   readonly workers: readonly ModelWorker[]
   /** Incarnation that the leader knows, by worker id. */
   readonly known: Readonly<Record<string, number>>
+  /** By worker id. */
+  readonly agents: Readonly<Record<string, ModelAgent>>
   readonly orders: readonly RunOrder[]
   readonly rejections: readonly PendingRejection[]
   /** Tasks whose completion the worker was allowed to forget. */
   readonly acknowledged: readonly string[]
   /** Tasks that started after that. */
   readonly startedAgain: readonly string[]
+  /** Runs that started on an order which was sent after the cancellation of their job. */
+  readonly startedCancelled: readonly string[]
   readonly crashes: number
   readonly copies: number
   readonly refusals: number
   readonly lapses: number
   readonly failures: number
   readonly agentRestarts: number
+  /** Leaders before the current one; their number is its term. */
   readonly leaderChanges: number
+  readonly cancels: number
 }
 
 /** Name of a failure domain and a service that all workers of the model share. */
@@ -120,8 +157,8 @@
   return state
 }
 
-/** Command that accepts a job of two steps with one task each; the second one follows the first. */
-export const submitChain = (jobId: string): Body => {
+/** Command that accepts a job of one or two steps with one task each; the second one follows the first. */
+export const submitChain = (jobId: string, stepCount: 1 | 2): Body => {
   const claim = { cpuMillis: CAPACITY_MILLIS, memoryMb: 1, accelerators: 0 }
   const step = (after: readonly number[]): protocol.workflow.Step => ({
     ...protocol.workflow.Step.fromPartial({ taskCount: 1, claim }),
@@ -129,7 +166,7 @@
   })
   const spec = {
     ...protocol.workflow.JobSpec.fromPartial({ id: jobId }),
-    steps: [step([]), step([0])],
+    steps: [step([]), step([0])].slice(0, stepCount),
   }
   const queue = protocol.workflow.Queue.fromPartial({ service: SERVICE, maxAttempts: 3 })
   return { $case: 'submit', value: { spec, queue } }
