fix(workflow-agent): set a pace again while an earlier call for it may still be carried out

What callers saw: nothing yet; found by review. A call for a pace without an answer may be carried out seconds later, after newer calls. The agent took the pace as unchanged, or a later answer as the last word: a filler that had been paused late stood still at a pace that counted as full, and one that had been released late worked on beside a serving task over its target while the alarm held it to be paused. Lists do not show the pace, so nothing corrected it before the next change of the ordered pace.

For 10 s after a call without an answer the agent now sets the pace again with each list. No bound of such calls is known; 10 s is the longest lease, which bounds starts.

Ruled out: calls that were answered out of order; the pace that counts is then that of the later answer, and the next list sets a differing one.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -73,6 +73,9 @@
     stop: (): void => {
       send({ stops: [RUN] })
     },
+    pace: (percent: number): void => {
+      send({ paces: [{ run: RUN, percent }] })
+    },
     /** Ends the stream as a replica does that no longer leads. */
     resign: (): void => {
       stream?.end()
@@ -91,7 +94,9 @@
   let ended: readonly protocol.workflow.ListedEnd[] = []
   /** Ends that each call for a list acknowledges, with the incarnation that it reaches. */
   const acknowledged: (readonly [bornMs: number, acknowledgedEnd: number])[] = []
-  const worker = { bornMs: 1, isDown: false }
+  const worker = { bornMs: 1, isDown: false, isRunning: false, delaysPace: false }
+  const latePaces: number[] = []
+  const runningTask = { run: RUN, checkpoint: '', progressPercent: 0, figure: 0, pacePercent: 100 }
   let startCalls = 0
   const runner: runners.Runner = {
     start: () => {
@@ -111,9 +116,15 @@
       if (wasDown || isDown) return { kind: 'unanswered' }
       acknowledged.push([bornMs, acknowledgedEnd])
       const clockMs = Math.round(performance.now())
-      return { kind: 'list', list: { bornMs, clockMs, running: [], ended } }
+      const running = worker.isRunning ? [runningTask] : []
+      return { kind: 'list', list: { bornMs, clockMs, running, ended } }
     },
     pace: (_identity, _run, percent) => {
+      if (worker.delaysPace) {
+        worker.delaysPace = false
+        latePaces.push(percent)
+        return Promise.resolve('unanswered')
+      }
       paces.push(percent)
       return Promise.resolve('done')
     },
@@ -124,6 +135,17 @@
     acknowledged,
     acknowledgedEnds,
     startCalls: () => startCalls,
+    listAsRunning: (): void => {
+      worker.isRunning = true
+    },
+    /** Leaves the next call for a pace without an answer until `carryOutLate`. */
+    delayPace: (): void => {
+      worker.delaysPace = true
+    },
+    latePaces,
+    carryOutLate: (): void => {
+      paces.push(...latePaces.splice(0))
+    },
     /** Lets another run end, which lists show until its number is acknowledged. */
     endRun: (number: number): void => {
       const run = { ...RUN, index: number }
@@ -214,6 +236,21 @@
     expect(worker.paces).toEqual(paces)
   })
 
+  it('guards against a filler that keeps the pace of a call which was carried out late', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.listAsRunning()
+    leader.start({ filling: true })
+    await vitest.vi.waitUntil(() => worker.startCalls() === 1)
+    worker.delayPace()
+    leader.pace(0)
+    await vitest.vi.waitUntil(() => worker.latePaces.length === 1)
+    leader.pace(100)
+    await timers.setTimeout(QUIET_MS)
+    worker.carryOutLate()
+    expect(worker.paces.at(-1)).toBe(0)
+    await vitest.vi.waitUntil(() => worker.paces.at(-1) === 100)
+  })
+
   it('guards against lists again and again while the commit of an end takes long', async () => {
     const { leader, worker } = await createSubject([{ kind: 'started' }])
     worker.endRun(1)
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -23,6 +23,8 @@
   pacePercent: number
   /** False for a run that an agent before this one may have paced: the worker's lists do not show the pace. */
   isPaceKnown: boolean
+  /** When no earlier call for a pace is carried out any more, on the agent's clock in milliseconds. */
+  paceCertainAtMs: number
   /** Pace that the leader ordered, in percent. */
   orderedPercent: number
   stopRequested: boolean
@@ -226,6 +228,7 @@
         run,
         pacePercent: FULL_PERCENT,
         isPaceKnown: !order.repeated,
+        paceCertainAtMs: 0,
         orderedPercent: order.pacePercent,
         stopRequested: false,
         started: false,
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -25,6 +25,13 @@
 /** Longest time between two reports while the worker does not answer, in milliseconds. */
 const REPORT_INTERVAL_MS = 400
 
+/**
+ * Time after a call for a pace without an answer in which the pace is set again with each list, in milliseconds: the worker
+ * may carry such a call out seconds later, after newer ones. Nobody gives a bound; starts are bounded by their lease, which
+ * is up to 10 s.
+ */
+const LATE_PACE_MS = 10_000
+
 /** What a worker says of itself. */
 export interface Announcement {
   readonly worker: Omit<protocol.workflow.WorkerDescription, 'identity'> & {
@@ -189,9 +196,11 @@
 
   const setPace = async (current: Life, entry: runTables.RunEntry): Promise<void> => {
     const percent = current.alarm.raised ? 0 : entry.orderedPercent
-    if (!entry.order.filling || (entry.isPaceKnown && percent === entry.pacePercent)) return
+    const isCertain = entry.isPaceKnown && nowMs() >= entry.paceCertainAtMs
+    if (!entry.order.filling || (isCertain && percent === entry.pacePercent)) return
     const { identity } = current.announcement.worker
     const answer = await runner.pace(identity, entry.run, percent, fence ?? 0)
+    if (answer === 'unanswered') entry.paceCertainAtMs = nowMs() + LATE_PACE_MS
     if (answer !== 'done') return
     entry.pacePercent = percent
     entry.isPaceKnown = true
