fix(entry): do not tell "not run" for a keyed request before its claim is known

Callers that resent a keyed request through an entry whose configuration lease had ended, or that held too many requests or bytes, got 503 "not-run", although an earlier request with the same key had run and its answer was kept by an agent. The fault test 'the entry and the leader are killed' with keyed requests in progress failed this way beside load (status 503).

Cause: the entry refused before it asked control for the claim and reported only on the request at hand. A claim that can't be confirmed was already answered as 502 "unknown" for this reason (design, section 20).

A keyed request that is refused before its claim is known now gets "unknown", and 502 in place of 503. The key makes a resend safe. Requests without a key and refusals after the claim stay "not-run".

Evidence: the three new cases of claims.spec.ts failed before (503, 'not-run') and pass now.

--- a/packages/entry/__tests__/claims.spec.ts
+++ b/packages/entry/__tests__/claims.spec.ts
@@ -1,8 +1,12 @@
+import * as undici from 'undici'
 import * as vitest from 'vitest'
 import * as cells from './cell.js'
 
 const { afterEach, beforeEach, describe, expect, test } = vitest
 
+/** Longer than the configuration lease of 4 s, on a busy machine as well. */
+const READINESS_DEADLINE_MS = 30_000
+
 const keyed = (key: string, body = 'swap', timeoutMs = 5_000) => ({
   body,
   headers: {
@@ -93,4 +97,45 @@
     expect(resent.body.toString()).toBe('swap')
     expect(endpoint.ran.length).toBe(1)
   })
+
+  const untilReady = async (address: string, status: 200 | 503): Promise<string> => {
+    const untilMs = performance.now() + READINESS_DEADLINE_MS
+    for (;;) {
+      const reply = await undici.request(`http://${address}/readyz`)
+      await reply.body.dump()
+      if (reply.statusCode === status) return address
+      if (performance.now() > untilMs) throw new Error(`/readyz did not answer ${status}`)
+      await cells.pause(20)
+    }
+  }
+
+  const refusing: readonly (readonly [string, string, () => Promise<string>])[] = [
+    [
+      'without a configuration',
+      'config-expired',
+      async () => {
+        cell.control.silent = true
+        return untilReady(second, 503)
+      },
+    ],
+    [
+      'with too many requests',
+      'overloaded',
+      async () => untilReady(await cell.addEntry('entry-3', { maxRequests: 0 }), 200),
+    ],
+    [
+      'with too many bytes',
+      'body-overloaded',
+      async () => untilReady(await cell.addEntry('entry-3', { maxBufferedBytes: 0 }), 200),
+    ],
+  ]
+  test.each(refusing)(
+    'guards against a false "not run" for a resend at an entry %s',
+    async (_name, error, createRefusingEntry) => {
+      await cells.call(first, keyed('k'))
+      const resent = await cells.call(await createRefusingEntry(), keyed('k'))
+      expect([resent.status, resent.error.error, resent.outcome]).toEqual([502, error, 'unknown'])
+      expect(endpoint.ran.length).toBe(1)
+    },
+  )
 })
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -186,16 +186,24 @@
     return controller.signal
   }
 
+  /** Refuses a request before it is claimed or dispatched. */
   const refuse = (
     response: http.ServerResponse,
     requestId: string,
-    status: number,
-    error: string,
-    detail: string,
-    service: string,
+    refusal: { readonly status: number; readonly error: string; readonly detail: string },
+    head?: requestHead.RequestHead,
   ): void => {
+    const { status, error, detail } = refusal
+    // This request did not run, but an earlier one with the same key may have.
+    const isKeyed = head !== undefined && head.key !== ''
+    const outcome = isKeyed ? 'unknown' : 'not-run'
     if (status !== 404) response.setHeader('connection', 'close')
-    reply.sendError(response, status, requestId, { error, detail, outcome: 'not-run', service })
+    reply.sendError(response, isKeyed && status === 503 ? 502 : status, requestId, {
+      error,
+      detail,
+      outcome,
+      service: head?.service ?? '',
+    })
   }
 
   const receive = async (
@@ -208,7 +216,8 @@
     const policy = view.service(service)
     if (policy === undefined) {
       message.resume()
-      refuse(response, requestId, 404, 'unknown-service', `no rule for service ${service}`, service)
+      const detail = `no rule for service ${service}`
+      refuse(response, requestId, { status: 404, error: 'unknown-service', detail }, head)
       return
     }
     const cancelled = cancelledSignal(response)
@@ -216,7 +225,7 @@
     if (body.isErr()) {
       const status = { cut: 400, 'too-large': 413, overloaded: 503 }[body.error]
       const detail = `request body ${body.error}; at most ${resolved.maxRequestBytes} bytes`
-      refuse(response, requestId, status, `body-${body.error}`, detail, service)
+      refuse(response, requestId, { status, error: `body-${body.error}`, detail }, head)
       return
     }
     const arrivedAtMs = now()
@@ -245,18 +254,17 @@
     const requestId = crypto.randomUUID()
     const head = requestHead.readHead(message, resolved.maxTimeoutMs)
     if (head.isErr()) {
-      refuse(response, requestId, head.error.status, 'bad-request', head.error.detail, '')
+      refuse(response, requestId, { ...head.error, error: 'bad-request' })
       return
     }
-    const { service } = head.value
     if (!view.inForce(now())) {
       const detail = 'this entry instance has no valid configuration from control'
-      refuse(response, requestId, 503, 'config-expired', detail, service)
+      refuse(response, requestId, { status: 503, error: 'config-expired', detail }, head.value)
       return
     }
     if (requests >= resolved.maxRequests) {
       const detail = `${resolved.maxRequests} requests are in progress`
-      refuse(response, requestId, 503, 'overloaded', detail, service)
+      refuse(response, requestId, { status: 503, error: 'overloaded', detail }, head.value)
       return
     }
     requests++
