fix(control-client): look for the leader until the deadline of a call

Callers that resent a keyed request while control elected a leader got 502 "claim-failed" within 160 ms, although a claim has 2 s: all 27 resends of the fault test 'the entry and the leader are killed' failed within 0.6 s. Syncs of entries and agents failed the same way and waited 1 s more.

Cause: a call ended after four attempts. While a leader is dead, followers redirect to it, so four attempts are refused within milliseconds.

A call now goes on until its deadline, with a pause of 100 ms after each four attempts.

Ruled out: the claim itself (the agent had the answer in each failed run) and the relays (no entry or agent is cut off in this test).

--- a/packages/control-client/src/controlClient.ts
+++ b/packages/control-client/src/controlClient.ts
@@ -34,8 +34,10 @@
   timeoutMs: number,
 ) => Promise<results.Result<Reply, ControlFailure>>
 
-/** Attempts of one call: enough to follow one redirect and pass two dead replicas. */
-const MAX_ATTEMPTS = 4
+/** Attempts without a pause: enough to follow one redirect and pass two dead replicas. */
+const ATTEMPTS_PER_ROUND = 4
+/** Pause while no leader is known, in milliseconds: one heartbeat of the control group. */
+const ROUND_PAUSE_MS = 100
 
 const channelOptions: grpc.ClientOptions = {
   'grpc.max_receive_message_length': protocol.limits.MAX_MESSAGE_BYTES,
@@ -46,11 +48,17 @@
   'grpc.enable_retries': 0,
 }
 
+const pause = async (ms: number): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms)
+  })
+
 /** Creates a client that finds the leader among `addresses` and follows redirects. */
 export const createControlClient = (addresses: readonly string[]): ControlClient => {
   let index = 0
   let address = addresses[0] ?? ''
   let client: protocol.control.ControlClient | undefined
+  let closed = false
 
   const connect = (): protocol.control.ControlClient => {
     client ??= new protocol.control.ControlClient(
@@ -100,9 +108,11 @@
     async (request, timeoutMs) => {
       const deadlineMs = performance.now() + timeoutMs
       let failure: ControlFailure = { reason: 'no-leader', detail: 'no replica answered' }
-      for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
+      // Followers name a dead leader until the next one is elected, which takes 1 to 2 s.
+      for (let tries = 0; ; tries++) {
+        if (tries > 0 && tries % ATTEMPTS_PER_ROUND === 0) await pause(ROUND_PAUSE_MS)
         const leftMs = deadlineMs - performance.now()
-        if (leftMs <= 0) break
+        if (closed || leftMs <= 0) break
         const used = connect()
         // One silent replica must not use up the time for the others.
         const attemptMs = Math.max(50, leftMs / Math.min(2, addresses.length))
@@ -127,6 +137,7 @@
     claim: call((c, ...args) => c.claim(...args)),
     settle: call((c, ...args) => c.settle(...args)),
     close: () => {
+      closed = true
       client?.close()
       client = undefined
     },
