--- a/packages/control-client/__tests__/controlClient.spec.ts
+++ b/packages/control-client/__tests__/controlClient.spec.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net'
 import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@ebonyweir/protocol'
 import * as vitest from 'vitest'
@@ -22,6 +23,13 @@
   agentIncarnation: 0,
 }
 
+/** Time until a connection to a slow replica is made. */
+const CONNECT_MS = 300
+/** Time of a call that ends before the connection is made. */
+const HURRIED_TIMEOUT_MS = 100
+/** Time of a call that has enough of it, on a busy machine too. */
+const PATIENT_TIMEOUT_MS = 5_000
+
 type Settle = protocol.control.ControlServer['settle']
 
 /** An address at which nothing listens. */
@@ -29,6 +37,7 @@
 
 describe('calls to the leader of control', () => {
   const servers: grpc.Server[] = []
+  const slowServers: net.Server[] = []
   const clients: controlClient.ControlClient[] = []
 
   const start = async (settle: Settle): Promise<string> => {
@@ -44,6 +53,25 @@
     })
   }
 
+  /** An address that passes connections on to `target` after a while. */
+  const startSlow = async (target: string): Promise<string> => {
+    const [host, port] = target.split(':')
+    const server = net.createServer((client) => {
+      client.on('error', () => undefined)
+      setTimeout(() => {
+        const outgoing = net.connect(Number(port), host)
+        outgoing.on('error', () => undefined)
+        outgoing.on('close', () => client.destroy())
+        client.pipe(outgoing).pipe(client)
+      }, CONNECT_MS)
+    })
+    slowServers.push(server)
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve)
+    })
+    return `127.0.0.1:${(server.address() as net.AddressInfo).port}`
+  }
+
   const create = (addresses: readonly string[]): controlClient.ControlClient => {
     const client = controlClient.createControlClient(addresses)
     clients.push(client)
@@ -53,6 +81,7 @@
   afterEach(() => {
     for (const client of clients.splice(0)) client.close()
     for (const server of servers.splice(0)) server.forceShutdown()
+    for (const server of slowServers.splice(0)) server.close()
   })
 
   // Elections take 1 to 2 s, in which a round of refused attempts is over within milliseconds.
@@ -72,4 +101,21 @@
       expect(reply.isOk()).toBe(true)
     },
   )
+
+  // On a busy instance a connection takes longer than some calls have.
+  test('guards against calls with little time that close the connection of the others', async () => {
+    const leader = await start((_call, callback) => {
+      callback(null, { redirect: undefined })
+    })
+    const client = create([await startSlow(leader), DEAD])
+    let isWaiting = true
+    const hurry = async (): Promise<void> => {
+      while (isWaiting) await client.settle(SETTLE, HURRIED_TIMEOUT_MS)
+    }
+    const hurried = hurry()
+    const reply = await client.settle(SETTLE, PATIENT_TIMEOUT_MS)
+    isWaiting = false
+    await hurried
+    expect(reply.isOk()).toBe(true)
+  })
 })
