fix(workflow-scheduling): place fillers by the processors that other tasks use

Cause: placement and the supply of the ranking took reservations for use, so that a worker whose processors are all reserved got no filler but the one that starts after 2 s.

`leftToFillers` now estimates what the other tasks use, for placement, supply and paces alike: the claim of a serving task times the utilization that its tail shows, plus a standard deviation and at least an average load, since the smallest tail seen was not without load. Where settled fillers get less than their paces ask for, the difference is taken off the estimate and forgotten within seconds.

The tails are what protects serving tasks, so before a filler starts its pair counts at what is possible (mean plus a standard deviation), and it starts at 0.6 of what its neighbours bear.

'guards against fillers that wait beside processors which are reserved and not used' and 'guards against more fillers of an unknown image than the tails may bear' failed on the code before (supply 0, empty plan).

--- a/packages/workflow-control/src/fillerPacing.ts
+++ b/packages/workflow-control/src/fillerPacing.ts
@@ -80,7 +80,9 @@
       const neighbours = neighboursOf(session)
       const now = nowMs()
       disturbance.observe(session.key, neighbours, now)
-      const wanted = disturbance.paces(session.key, neighbours, now)
+      // The list may show that less is left than was estimated.
+      const corrected = { ...neighbours, leftCpuMillis: options.leftCpuMillis(session) }
+      const wanted = disturbance.paces(session.key, corrected, now)
       const orders: protocol.workflow.PaceOrder[] = []
       for (const [index, { run, key, pacePercent }] of neighbours.filling.entries()) {
         const percent = wanted[index] ?? pacePercent
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -35,6 +35,9 @@
 
 const FULL_PERCENT = 100
 
+/** Part of what its neighbours bear at which a filler starts: their load may rise before the next list. */
+const STARTED_PART = 0.6
+
 type TaskRun = protocol.workflow.TaskRun
 type WorkerIdentity = protocol.workflow.WorkerIdentity
 
@@ -163,8 +166,8 @@
     const key = workflowState.workerKey(task.worker)
     const load = view.loads.get(key)
     const isNew = Math.max(1, scheduling.unlistedFillers(key, load, disturbance))
-    const bearable = disturbance.room(key, step.spec.image, ranks.rankOf(step)) / isNew
-    return Math.round(Math.min(1, bearable) * FULL_PERCENT)
+    const bearable = disturbance.safeRoom(key, step.spec.image, ranks.rankOf(step)) / isNew
+    return Math.round(Math.min(1, bearable * STARTED_PART) * FULL_PERCENT)
   }
 
   const startOrder = (
@@ -508,7 +511,7 @@
     leftCpuMillis: ({ worker, key }) =>
       worker?.capacity === undefined
         ? 0
-        : scheduling.leftToFillers(worker.capacity, view.loads.get(key)),
+        : scheduling.leftToFillers(key, worker.capacity, view.loads.get(key), disturbance),
     activeRun,
     nowMs,
     percentOf: progress.percentOf,
--- a/packages/workflow-scheduling/src/paces.ts
+++ b/packages/workflow-scheduling/src/paces.ts
@@ -164,8 +164,8 @@
   }
 
   /**
-   * Pauses the last ones where all together would only share the processors: each would end later than it could. What other
-   * tasks reserve binds only as far as the fillers get less than their paces ask for, since serving tasks use a part of it.
+   * Pauses the last ones where all together would only share the processors: each would end later than it could. The
+   * estimate of what is left binds only as far as the fillers get less than their paces ask for.
    */
   const boundByProcessors = (chosen: number[], { filling, leftCpuMillis }: Place): void => {
     let pacedMillis = 0
--- a/packages/workflow-scheduling/src/pacing.ts
+++ b/packages/workflow-scheduling/src/pacing.ts
@@ -8,6 +8,7 @@
  * serving task, which cancels its own load, and are shared between workers.
  */
 import type * as lists from './neighbours.js'
+import * as missingCpu from './missingCpu.js'
 import * as paces from './paces.js'
 
 /** Utilization above which a figure says no more than that the worker is overloaded. */
@@ -109,6 +110,12 @@
    * higher rank than `rank` would make way, and paused ones of the same or a lower rank come first.
    */
   readonly room: (worker: string, fillingImage: string, rank?: number) => number
+  /** The same if each of them disturbs as much as is possible by what is known; used before one starts. */
+  readonly safeRoom: (worker: string, fillingImage: string, rank?: number) => number
+  /** Share of its processors that a serving task may use. */
+  readonly utilization: (worker: string, servingKey: string) => number
+  /** Processors that fillers of a worker were short of against the estimate of what is left to them. */
+  readonly missingCpuMillis: (worker: string) => number
   /** Whether the worker's newest list shows a filler. */
   readonly isListed: (worker: string, fillerKey: string) => boolean
   readonly forget: (worker: string) => void
@@ -120,6 +127,7 @@
   const floorsMs = new Map<string, number>()
   const memories = new Map<string, WorkerMemory>()
   const latest = new Map<string, lists.Neighbours>()
+  const missing = missingCpu.createMissingCpu()
   /** Time of the newest list of any worker. */
   let observedMs = 0
 
@@ -273,6 +281,7 @@
     const memory = memoryOf(worker)
     observedMs = nowMs
     latest.set(worker, neighbours)
+    missing.observe(worker, neighbours, nowMs)
     noteFillers(memory, neighbours.filling, nowMs)
     const present = new Set(neighbours.serving.map(({ key }) => key))
     for (const key of memory.figures.keys()) if (!present.has(key)) memory.figures.delete(key)
@@ -291,19 +300,27 @@
     }
   }
 
+  /** Amount that is possible by what is known. */
+  const suspicion: Disturbance['amount'] = (servingImage, fillingImage) => {
+    const { mean, variance } = amountOf(pairKey(servingImage, fillingImage))
+    return mean + Math.sqrt(variance)
+  }
+
   const choosePaces = paces.createPaces({
     amount,
-    suspicion: (servingImage, fillingImage) => {
-      const { mean, variance } = amountOf(pairKey(servingImage, fillingImage))
-      return mean + Math.sqrt(variance)
-    },
+    suspicion,
     headroom: (worker, task, share) => headroomOf(memories.get(worker), task, share),
   })
 
-  const room: Disturbance['room'] = (worker, fillingImage, rank = Number.POSITIVE_INFINITY) => {
+  const roomBy = (
+    amountOfNew: Disturbance['amount'],
+    worker: string,
+    fillingImage: string,
+    rank: number,
+  ): number => {
     const { serving = [], filling = [] } = latest.get(worker) ?? {}
     const shares = serving.map((task) => {
-      const effect = amount(task.image, fillingImage)
+      const effect = amountOfNew(task.image, fillingImage)
       if (effect <= paces.HARMLESS_AMOUNT) return Number.POSITIVE_INFINITY
       let free = headroomOf(memories.get(worker), task, paces.HELD_SHARE)
       for (const filler of filling) {
@@ -316,16 +333,30 @@
     return Math.min(...shares)
   }
 
+  const utilization: Disturbance['utilization'] = (worker, servingKey) => {
+    const figure = memories.get(worker)?.figures.get(servingKey)
+    const load = figure?.load ?? PRIOR_LOAD
+    const possible = load + Math.sqrt(figure?.loadVariance ?? PRIOR_LOAD_VARIANCE)
+    // The smallest tail seen was not without load, so that a low figure shows less than is used.
+    return Math.min(1, Math.max(PRIOR_LOAD, possible))
+  }
+
   return {
     observe,
     paces: choosePaces.paces,
     amount,
-    room,
+    room: (worker, fillingImage, rank = Number.POSITIVE_INFINITY) =>
+      roomBy(amount, worker, fillingImage, rank),
+    safeRoom: (worker, fillingImage, rank = Number.POSITIVE_INFINITY) =>
+      roomBy(suspicion, worker, fillingImage, rank),
+    utilization,
+    missingCpuMillis: missing.millis,
     isListed: (worker, fillerKey) =>
       latest.get(worker)?.filling.some(({ key }) => key === fillerKey) ?? false,
     forget: (worker) => {
       memories.delete(worker)
       latest.delete(worker)
+      missing.forget(worker)
       choosePaces.forget(worker)
     },
   }
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -4,6 +4,7 @@
 import type * as durations from './durations.js'
 import * as order from './order.js'
 import type * as pacing from './pacing.js'
+import * as unusedCpu from './unusedCpu.js'
 
 /** Worker that may get new runs. */
 export interface PlacementWorker {
@@ -53,7 +54,7 @@
   cpuMillis: number
   memoryMb: number
   accelerators: number
-  /** Processors that the other tasks leave to fillers. */
+  /** Processors that the other tasks leave to fillers; see `leftToFillers`. */
   readonly leftCpuMillis: number
   /** Fillers that are here or planned, with the processors that they would use. */
   readonly fillers: { readonly rank: number; readonly cpuMillis: number }[]
@@ -62,15 +63,6 @@
   planned: number
 }
 
-/**
- * Processors of a worker that its other tasks do not reserve. Serving tasks use less than they reserve, but counting on
- * that put more fillers beside them than their tails bore, in trials on both sites.
- */
-export const leftToFillers = (
-  capacity: protocol.workflow.Resources,
-  load: workflowState.WorkerLoad | undefined,
-): number => Math.max(0, capacity.cpuMillis - (load?.cpuMillis ?? 0))
-
 const placeOf = (
   step: workflowState.StepView,
   task: workflowState.TaskView,
@@ -82,22 +74,6 @@
   run: 0,
 })
 
-interface RunKey {
-  readonly run: number
-  readonly key: string
-}
-
-/** Keys of the current runs, since each plan asks for those of all fillers. */
-const runKeys = new WeakMap<workflowState.TaskView, RunKey>()
-
-const runKeyOf = ({ step, task }: workflowState.ActiveRun): string => {
-  const known = runKeys.get(task)
-  if (known?.run === task.run) return known.key
-  const key = workflowState.runKey({ ...placeOf(step, task), run: task.run })
-  runKeys.set(task, { run: task.run, key })
-  return key
-}
-
 /** Fillers of a worker that its newest list does not show yet. */
 export const unlistedFillers = (
   worker: string,
@@ -106,7 +82,8 @@
 ): number => {
   let count = 0
   for (const active of load?.runs.values() ?? []) {
-    if (active.step.spec.filling && !disturbance.isListed(worker, runKeyOf(active))) count += 1
+    if (active.step.spec.filling && !disturbance.isListed(worker, unusedCpu.activeRunKey(active)))
+      count += 1
   }
   return count
 }
@@ -128,7 +105,7 @@
     cpuMillis: capacity.cpuMillis - (load?.cpuMillis ?? 0),
     memoryMb: capacity.memoryMb - (load?.memoryMb ?? 0),
     accelerators: capacity.accelerators - (load?.accelerators ?? 0),
-    leftCpuMillis: leftToFillers(capacity, load),
+    leftCpuMillis: unusedCpu.leftToFillers(key, capacity, load, disturbance),
     fillers: fillers.map(({ step }) => ({
       rank: fillerRank(step),
       cpuMillis: workflowState.claimOf(step.spec).cpuMillis,
@@ -205,7 +182,7 @@
   const bearable = (room: Room): number => {
     const known = bearableIn.get(room)
     if (known !== undefined) return known
-    const worked = disturbance.room(room.key, step.spec.image, rank)
+    const worked = disturbance.safeRoom(room.key, step.spec.image, rank)
     bearableIn.set(room, worked)
     return worked
   }
@@ -428,7 +405,8 @@
     if (identity === undefined || capacity === undefined) continue
     if (input.view.evacuated.has(failureDomain)) continue
     const key = workflowState.workerKey(identity)
-    const leftCpuMillis = leftToFillers(capacity, input.view.loads.get(key))
+    const load = input.view.loads.get(key)
+    const leftCpuMillis = unusedCpu.leftToFillers(key, capacity, load, input.disturbance)
     const counts = steps.map((step) => {
       const bearable = input.disturbance.room(key, step.spec.image, FIRST_RANK)
       const { cpuMillis } = workflowState.claimOf(step.spec)
