fix(workflow-scheduling): spread fillers by the room that there is for them

With places by use nearly every worker bears a filler at full speed, and all of these cost the same: the first worker in the list got fillers until its tails were at their held share, while others had none. A tail rises the faster the nearer it is to its target, so the same work in fewer places keeps serving tasks over their targets for longer.

The cost of a place now falls with the whole room for the filler, in tails and processors, also above full speed.

'guards against fillers on the first worker that bears them while another bears more' failed on the code before (it chose the first worker).

--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -66,6 +66,20 @@
     expect(workersOf(cell.plan())).toEqual(['w', 'w', 'w'])
   })
 
+  it('guards against fillers on the first worker that bears them while another bears more', () => {
+    const cell = createCell([worker('v'), worker('w')])
+    const observe = (id: string, tails: readonly number[]): void => {
+      for (const [list, tailMs] of tails.entries()) {
+        const serving = [{ key: `${id}-s`, image: 'i', tailMs, targetMs: 50 }]
+        cell.disturbance.observe(`${id}@1`, { serving, filling: [] }, list * 400)
+      }
+    }
+    observe('v', [10, 12])
+    observe('w', [10, 11])
+    cell.submit('fill', [step({ filling: true, image: 'f' })])
+    expect(workersOf(cell.plan())).toEqual(['w'])
+  })
+
   it.each([
     {
       name: 'guards against a worker with bad ends while others have room',
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -163,7 +163,10 @@
 /** Cost of a worker on which the same task had a bad end; any other worker is tried first. */
 const REPEATED_WORKER_COST = 10
 
-/** Share of full speed at which a filler would work in a room; 0 where it is below `minRate`. */
+/**
+ * Share of full speed at which a filler would work in a room; 0 where it is below `minRate`. Above 1 there is room for more
+ * than the filler.
+ */
 type RateIn = (room: Room, minRate: number) => number
 
 /**
@@ -192,7 +195,7 @@
     for (const filler of room.fillers) if (filler.rank <= rank) takenMillis += filler.cpuMillis
     const left = Math.max(0, room.leftCpuMillis - takenMillis) / Math.max(1, cpuMillis)
     if (left < minRate) return 0
-    const rate = Math.min(1, bearable(room) / (1 + room.planned), left)
+    const rate = Math.min(bearable(room) / (1 + room.planned), left)
     return rate < minRate ? 0 : rate
   }
 }
@@ -238,7 +241,8 @@
 
 /**
  * Cost of a worker for a task; the lowest one is chosen. Tasks that reserve processors are packed, which leaves workers
- * without serving tasks to the fillers that would disturb them.
+ * without serving tasks to the fillers that would disturb them. Fillers are spread by the room that there is for them: a tail
+ * rises the faster the nearer it is to its target.
  */
 const costOf = (
   room: Room,
@@ -251,7 +255,7 @@
   const { dataRack, filling, sameRack } = step.spec
   const freeShare = room.cpuMillis / Math.max(1, room.capacity.cpuMillis)
   let cost = badEnds * BAD_END_COST
-  cost += filling ? 1 - fillingRateHere : freeShare
+  cost += filling ? 1 / (1 + fillingRateHere) : freeShare
   if (isAvoided) cost += REPEATED_WORKER_COST
   if (dataRack !== '' && dataRack !== description.rack) cost += OTHER_RACK_COST
   if (sameRack && !isRackOfStep(racksOfStep, description.rack)) cost += OTHER_RACK_COST
@@ -391,7 +395,7 @@
 export const bestFillingRate = (input: FillingInput, step: workflowState.StepView): number => {
   const rateIn = createFillingRate(step, input.fillerRank(step), input.disturbance)
   const suitable = createRooms(input).filter((room) => isSuitable(room, step))
-  return Math.max(0, ...suitable.map((room) => rateIn(room, 0)))
+  return Math.min(1, Math.max(0, ...suitable.map((room) => rateIn(room, 0))))
 }
 
 /** Tasks of the steps, which fill, that could work at full speed on the workers if nothing else filled there. */
