--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -4,6 +4,7 @@
 import type * as durations from './durations.js'
 import * as order from './order.js'
 import type * as pacing from './pacing.js'
+import * as unusedCpu from './unusedCpu.js'
 
 /** Worker that may get new runs. */
 export interface PlacementWorker {
@@ -53,7 +54,7 @@
   cpuMillis: number
   memoryMb: number
   accelerators: number
-  /** Processors that the other tasks leave to fillers. */
+  /** Processors that the other tasks leave to fillers; see `leftToFillers`. */
   readonly leftCpuMillis: number
   /** Fillers that are here or planned, with the processors that they would use. */
   readonly fillers: { readonly rank: number; readonly cpuMillis: number }[]
@@ -62,15 +63,6 @@
   planned: number
 }
 
-/**
- * Processors of a worker that its other tasks do not reserve. Serving tasks use less than they reserve, but counting on
- * that put more fillers beside them than their tails bore, in trials on both sites.
- */
-export const leftToFillers = (
-  capacity: protocol.workflow.Resources,
-  load: workflowState.WorkerLoad | undefined,
-): number => Math.max(0, capacity.cpuMillis - (load?.cpuMillis ?? 0))
-
 const placeOf = (
   step: workflowState.StepView,
   task: workflowState.TaskView,
@@ -82,22 +74,6 @@
   run: 0,
 })
 
-interface RunKey {
-  readonly run: number
-  readonly key: string
-}
-
-/** Keys of the current runs, since each plan asks for those of all fillers. */
-const runKeys = new WeakMap<workflowState.TaskView, RunKey>()
-
-const runKeyOf = ({ step, task }: workflowState.ActiveRun): string => {
-  const known = runKeys.get(task)
-  if (known?.run === task.run) return known.key
-  const key = workflowState.runKey({ ...placeOf(step, task), run: task.run })
-  runKeys.set(task, { run: task.run, key })
-  return key
-}
-
 /** Fillers of a worker that its newest list does not show yet. */
 export const unlistedFillers = (
   worker: string,
@@ -106,7 +82,8 @@
 ): number => {
   let count = 0
   for (const active of load?.runs.values() ?? []) {
-    if (active.step.spec.filling && !disturbance.isListed(worker, runKeyOf(active))) count += 1
+    if (active.step.spec.filling && !disturbance.isListed(worker, unusedCpu.activeRunKey(active)))
+      count += 1
   }
   return count
 }
@@ -128,7 +105,7 @@
     cpuMillis: capacity.cpuMillis - (load?.cpuMillis ?? 0),
     memoryMb: capacity.memoryMb - (load?.memoryMb ?? 0),
     accelerators: capacity.accelerators - (load?.accelerators ?? 0),
-    leftCpuMillis: leftToFillers(capacity, load),
+    leftCpuMillis: unusedCpu.leftToFillers(key, capacity, load, disturbance),
     fillers: fillers.map(({ step }) => ({
       rank: fillerRank(step),
       cpuMillis: workflowState.claimOf(step.spec).cpuMillis,
@@ -186,7 +163,10 @@
 /** Cost of a worker on which the same task had a bad end; any other worker is tried first. */
 const REPEATED_WORKER_COST = 10
 
-/** Share of full speed at which a filler would work in a room; 0 where it is below `minRate`. */
+/**
+ * Share of full speed at which a filler would work in a room; 0 where it is below `minRate`. Above 1 there is room for more
+ * than the filler.
+ */
 type RateIn = (room: Room, minRate: number) => number
 
 /**
@@ -205,7 +185,7 @@
   const bearable = (room: Room): number => {
     const known = bearableIn.get(room)
     if (known !== undefined) return known
-    const worked = disturbance.room(room.key, step.spec.image, rank)
+    const worked = disturbance.safeRoom(room.key, step.spec.image, rank)
     bearableIn.set(room, worked)
     return worked
   }
@@ -215,7 +195,7 @@
     for (const filler of room.fillers) if (filler.rank <= rank) takenMillis += filler.cpuMillis
     const left = Math.max(0, room.leftCpuMillis - takenMillis) / Math.max(1, cpuMillis)
     if (left < minRate) return 0
-    const rate = Math.min(1, bearable(room) / (1 + room.planned), left)
+    const rate = Math.min(bearable(room) / (1 + room.planned), left)
     return rate < minRate ? 0 : rate
   }
 }
@@ -261,7 +241,8 @@
 
 /**
  * Cost of a worker for a task; the lowest one is chosen. Tasks that reserve processors are packed, which leaves workers
- * without serving tasks to the fillers that would disturb them.
+ * without serving tasks to the fillers that would disturb them. Fillers are spread by the room that there is for them: a tail
+ * rises the faster the nearer it is to its target.
  */
 const costOf = (
   room: Room,
@@ -274,7 +255,7 @@
   const { dataRack, filling, sameRack } = step.spec
   const freeShare = room.cpuMillis / Math.max(1, room.capacity.cpuMillis)
   let cost = badEnds * BAD_END_COST
-  cost += filling ? 1 - fillingRateHere : freeShare
+  cost += filling ? 1 / (1 + fillingRateHere) : freeShare
   if (isAvoided) cost += REPEATED_WORKER_COST
   if (dataRack !== '' && dataRack !== description.rack) cost += OTHER_RACK_COST
   if (sameRack && !isRackOfStep(racksOfStep, description.rack)) cost += OTHER_RACK_COST
@@ -414,7 +395,7 @@
 export const bestFillingRate = (input: FillingInput, step: workflowState.StepView): number => {
   const rateIn = createFillingRate(step, input.fillerRank(step), input.disturbance)
   const suitable = createRooms(input).filter((room) => isSuitable(room, step))
-  return Math.max(0, ...suitable.map((room) => rateIn(room, 0)))
+  return Math.min(1, Math.max(0, ...suitable.map((room) => rateIn(room, 0))))
 }
 
 /** Tasks of the steps, which fill, that could work at full speed on the workers if nothing else filled there. */
@@ -428,7 +409,8 @@
     if (identity === undefined || capacity === undefined) continue
     if (input.view.evacuated.has(failureDomain)) continue
     const key = workflowState.workerKey(identity)
-    const leftCpuMillis = leftToFillers(capacity, input.view.loads.get(key))
+    const load = input.view.loads.get(key)
+    const leftCpuMillis = unusedCpu.leftToFillers(key, capacity, load, input.disturbance)
     const counts = steps.map((step) => {
       const bearable = input.disturbance.room(key, step.spec.image, FIRST_RANK)
       const { cpuMillis } = workflowState.claimOf(step.spec)
