feat(workflow-control): take clock and filler decisions of a term as options

The term of a leader read the time of day and set its timers directly, so its decisions could be measured only in real time. A context may now bring a clock, and a term the decisions about jobs that fill; without them everything is as before.

--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -2,6 +2,7 @@
 import type * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as clocks from './clock.js'
 import type * as context from './context.js'
 import * as runLabels from './runLabels.js'
 
@@ -21,7 +22,7 @@
 type Scope = 'all' | 'serving'
 
 export interface AssignmentRoundsOptions {
-  readonly ctx: context.ControlContext
+  readonly ctx: context.TermContext
   readonly term: number
   readonly expected: scheduling.Durations
   readonly disturbance: scheduling.Disturbance
@@ -29,6 +30,8 @@
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
   readonly fillerRank: scheduling.PlacementInput['fillerRank']
   readonly avoids: scheduling.PlacementInput['avoids']
+  /** @default `planAssignments` of the scheduling package */
+  readonly planAssignments?: typeof scheduling.planAssignments
   /** Sends the starts of committed assignments to their workers. */
   readonly start: (accepted: readonly protocol.workflow.Assignment[]) => void
 }
@@ -40,12 +43,13 @@
 }
 
 export const createAssignmentRounds = (options: AssignmentRoundsOptions): AssignmentRounds => {
-  const { ctx, term, expected, disturbance } = options
+  const { ctx, term, expected, disturbance, planAssignments = scheduling.planAssignments } = options
   const { view, nowMs } = ctx
   const readySinceMs = new WeakMap<workflowState.StepView, number>()
-  let timer: NodeJS.Timeout | undefined
-  /** Runs at the end of a pause. */
-  let pauseTimer: NodeJS.Timeout | undefined
+  const clock = ctx.clock ?? clocks.SYSTEM_CLOCK
+  let cancelDispatch: (() => void) | undefined
+  /** Cancels the round at the end of a pause. */
+  let cancelPause: (() => void) | undefined
   const pausedUntilMs: Record<Scope, number> = { all: 0, serving: 0 }
   let planning = false
   let planAgain = false
@@ -70,20 +74,20 @@
   }
 
   const resumeIn = (waitMs: number): void => {
-    clearTimeout(pauseTimer)
-    pauseTimer = setTimeout(plan, Math.ceil(waitMs))
+    cancelPause?.()
+    cancelPause = clock.after(Math.ceil(waitMs), plan)
   }
 
   const planRound = async (scope: Scope): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
     const beforeMs = ctx.work.totals().spentMs.plan
     const plan = ctx.work.measure('plan', () =>
-      scheduling.planAssignments({
+      planAssignments({
         view,
         servingOnly: scope === 'serving',
         workers: options.eligibleWorkers(),
         expected,
-        nowMs: Date.now(),
+        nowMs: clock.timeOfDayMs(),
         maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
         disturbance,
         fillerRank: options.fillerRank,
@@ -140,18 +144,18 @@
 
   const dispatch = (): void => {
     if (stopped || view.readySteps.size === 0) return
-    timer ??= setTimeout(() => {
-      timer = undefined
+    cancelDispatch ??= clock.after(DISPATCH_DELAY_MS, () => {
+      cancelDispatch = undefined
       plan()
-    }, DISPATCH_DELAY_MS)
+    })
   }
 
   return {
     dispatch,
     stop: () => {
       stopped = true
-      clearTimeout(timer)
-      clearTimeout(pauseTimer)
+      cancelDispatch?.()
+      cancelPause?.()
     },
   }
 }
--- /dev/null
+++ b/packages/workflow-control/src/clock.ts
@@ -0,0 +1,26 @@
+/** Time of day and timers of a term; a simulation gives its own. */
+
+export interface Clock {
+  /** Time of day in milliseconds since 1970. */
+  readonly timeOfDayMs: () => number
+  /** Runs `run` once after a delay; the result cancels it. */
+  readonly after: (delayMs: number, run: () => void) => () => void
+  /** Runs `run` again and again; the result ends that. */
+  readonly every: (intervalMs: number, run: () => void) => () => void
+}
+
+export const SYSTEM_CLOCK: Clock = {
+  timeOfDayMs: () => Date.now(),
+  after: (delayMs, run) => {
+    const timer = setTimeout(run, delayMs)
+    return () => {
+      clearTimeout(timer)
+    }
+  },
+  every: (intervalMs, run) => {
+    const timer = setInterval(run, intervalMs)
+    return () => {
+      clearInterval(timer)
+    }
+  },
+}
--- a/packages/workflow-control/src/context.ts
+++ b/packages/workflow-control/src/context.ts
@@ -3,6 +3,7 @@
 import type * as replica from '@ebonyweir/replica'
 import type * as workflowState from '@ebonyweir/workflow-state'
 import type * as results from 'ts-results-es'
+import type * as clocks from './clock.js'
 import type * as options from './options.js'
 import type * as workMeter from './workMeter.js'
 
@@ -23,3 +24,13 @@
   readonly work: workMeter.WorkMeter
   readonly hint: () => protocol.workflow.LeaderHint
 }
+
+/** What a term of the leader uses; it needs neither the replica nor the network. */
+export interface TermContext extends Pick<
+  ControlContext,
+  'view' | 'nowMs' | 'leadingTerm' | 'propose' | 'work'
+> {
+  readonly options: Pick<options.WorkflowControlOptions, 'logger' | 'timing'>
+  /** @default clock and timers of the process */
+  readonly clock?: clocks.Clock
+}
--- a/packages/workflow-control/src/fillerRanks.ts
+++ b/packages/workflow-control/src/fillerRanks.ts
@@ -2,6 +2,7 @@
 import type * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as clocks from './clock.js'
 import type * as workMeter from './workMeter.js'
 
 /** Age above which ranks are worked out again, in milliseconds: about half the interval of the workers' lists. */
@@ -15,6 +16,8 @@
   readonly expected: scheduling.Durations
   readonly disturbance: scheduling.Disturbance
   readonly nowMs: () => number
+  /** Time of day on the clock of the jobs' submission, in milliseconds. @default clock of the process */
+  readonly timeOfDayMs?: () => number
   /** Progress of a task in percent: of its run, or of its checkpoint while it waits. */
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
   readonly work: Pick<workMeter.WorkMeter, 'measure'>
@@ -34,6 +37,7 @@
 
 export const createFillerRanks = (options: FillerRanksOptions): FillerRanks => {
   const { view, expected, nowMs, percentOf } = options
+  const timeOfDayMs = options.timeOfDayMs ?? clocks.SYSTEM_CLOCK.timeOfDayMs
   let ranks: ReadonlyMap<string, number> = new Map()
   let rankedMs = Number.NEGATIVE_INFINITY
 
@@ -64,7 +68,7 @@
     })
     const chains = scheduling.chainsToEnd(steps, ({ index }) => slowest[index] ?? 0)
     const objectiveMs = scheduling.objectiveMs(steps, job.queue, expected)
-    const ageMs = Date.now() - scheduling.dueMs(job, occurrence)
+    const ageMs = timeOfDayMs() - scheduling.dueMs(job, occurrence)
     return {
       key: occurrenceKey(first),
       totalMs,
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -6,16 +6,16 @@
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as assignmentRounds from './assignmentRounds.js'
+import * as clocks from './clock.js'
 import type * as context from './context.js'
 import * as endIntakes from './endIntake.js'
 import * as endMonitors from './endMonitor.js'
 import * as endsUnderWay from './endsUnderWay.js'
-import * as fillerPacing from './fillerPacing.js'
-import * as fillerRanks from './fillerRanks.js'
 import * as fillerTimes from './fillerTimes.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
 import * as runProgress from './runProgress.js'
+import * as termParts from './termParts.js'
 import * as waitMonitors from './waitMonitor.js'
 import * as sessions from './workerSession.js'
 
@@ -64,12 +64,13 @@
 })
 
 export const createLeaderTerm = (
-  ctx: context.ControlContext,
+  ctx: context.TermContext,
   term: number,
   endCounter = endMonitors.createEndCounter(),
+  parts: termParts.TermParts = termParts.TERM_PARTS,
 ): LeaderTerm => {
   const { logger, timing } = ctx.options
-  const { view, nowMs } = ctx
+  const { view, nowMs, clock = clocks.SYSTEM_CLOCK } = ctx
   /** Since when this term hears its workers. */
   let listeningSinceMs = nowMs()
   let sweptMs = listeningSinceMs
@@ -82,9 +83,9 @@
   const ending = new Set<string>()
   const stalled = new Set<string>()
   const health = scheduling.createHealth()
-  const durations = scheduling.createDurations()
+  const durations = parts.createDurations()
   const progress = runProgress.createRunProgress(durations)
-  const disturbance = scheduling.createDisturbance()
+  const disturbance = parts.createDisturbance()
   const underWay = endsUnderWay.createEndsUnderWay()
   const proposeSoon = proposalBatch.createProposalBatch(ctx)
   const times = fillerTimes.createFillerTimes({ view, nowMs, work: ctx.work, logger })
@@ -445,7 +446,7 @@
     if (now - sweptMs > MAX_SWEEP_GAP_MS) listeningSinceMs = now
     sweptMs = now
     const workers = eligibleWorkers()
-    const places = scheduling.createFillingPlaces({
+    const places = parts.createFillingPlaces({
       view,
       workers,
       disturbance,
@@ -492,17 +493,18 @@
     for (const [key, orders] of byWorker) sessionOf(key)?.start(orders)
   }
 
-  const ranks = fillerRanks.createFillerRanks({
+  const ranks = parts.createFillerRanks({
     view,
     expected: durations,
     disturbance,
     nowMs,
+    timeOfDayMs: clock.timeOfDayMs,
     percentOf: progress.percentOf,
     work: ctx.work,
     eligibleWorkers,
   })
 
-  const pacing = fillerPacing.createFillerPacing({
+  const pacing = parts.createFillerPacing({
     disturbance,
     rankOf: ranks.rankOf,
     leftCpuMillis: ({ worker, key }) =>
@@ -522,14 +524,15 @@
     eligibleWorkers,
     fillerRank: ranks.rankOf,
     avoids: (place, worker) => badPlaces.get(workflowState.taskKey(place))?.has(worker) ?? false,
+    planAssignments: parts.planAssignments,
     start: sendStarts,
   })
 
   const waitMonitor = waitMonitors.createWaitMonitor({ logger, view, nowMs, eligibleWorkers })
 
-  const sweepTimer = setInterval(() => {
+  const endSweeps = clock.every(SWEEP_INTERVAL_MS, () => {
     ctx.work.measure('sweep', sweep)
-  }, SWEEP_INTERVAL_MS)
+  })
 
   return {
     term,
@@ -556,7 +559,7 @@
     sessionCount: () => byAgent.size,
     stop: () => {
       rounds.stop()
-      clearInterval(sweepTimer)
+      endSweeps()
       for (const session of byAgent.values()) session.end()
       byAgent.clear()
     },
