fix(workflow-scheduling): correct estimates of filling steps by the error that they have on average

What callers saw: jobs that fill were given up as late although they could be in time.

Filling steps without progress of their own are now expected to take their estimate times the geometric mean of the errors of the last 60 filling steps. Progress without any full-speed time says nothing of a duration and is left out; its logarithm would make all expectations zero.

--- a/packages/workflow-scheduling/src/durations.ts
+++ b/packages/workflow-scheduling/src/durations.ts
@@ -13,6 +13,10 @@
 /** Part of one task whose progress must have been seen before a step's own speed replaces the estimate. */
 const MIN_SEEN_PART = 0.15
 
+/** Filling steps from which the error of estimates is learned; fewer say little, older ones may be of another kind. */
+const MIN_STEPS = 3
+const MAX_STEPS = 60
+
 /** Duration assumed for a task without an estimate, in milliseconds. */
 export const DEFAULT_DURATION_MS = 2_000
 
@@ -47,6 +51,23 @@
 export const createDurations = (): Durations => {
   const learned = new Map<string, Learned>()
   const seenOf = new WeakMap<workflowState.StepView, Seen>()
+  /** Logarithm of actual to estimated duration of the filling steps seen last. */
+  const errorOf = new Map<workflowState.StepView, number>()
+
+  const noteError = (step: workflowState.StepView, { workedMs, part }: Seen): void => {
+    if (part < MIN_SEEN_PART || workedMs <= 0) return
+    errorOf.set(step, Math.log(workedMs / part / estimateOf(step)))
+    const oldest = errorOf.keys().next()
+    if (errorOf.size > MAX_STEPS && oldest.done !== true) errorOf.delete(oldest.value)
+  }
+
+  /** Factor by which estimates of filling steps are wrong on average. */
+  const meanError = (): number => {
+    if (errorOf.size < MIN_STEPS) return 1
+    let sum = 0
+    for (const error of errorOf.values()) sum += error
+    return Math.exp(sum / errorOf.size)
+  }
 
   return {
     observe: (step, durationMs) => {
@@ -67,11 +88,13 @@
       seen.workedMs += workedMs
       seen.part += part
       seenOf.set(step, seen)
+      if (step.spec.filling) noteError(step, seen)
     },
     expect: (step) => {
       const seen = seenOf.get(step)
       if (seen !== undefined && seen.part >= MIN_SEEN_PART) return seen.workedMs / seen.part
       const known = learned.get(imageOf(step))
+      if (step.spec.filling) return estimateOf(step) * meanError()
       if (known === undefined || known.observations < MIN_OBSERVATIONS) return estimateOf(step)
       return estimateOf(step) * known.meanRatio
     },
