fix(workflow-control): rank the jobs that fill at most a fifth of the time

The log line "loop late" gives the cause: of 1.8 s of loop, rankings took 1.1 s.

Cause: the age of a ranking counted from its beginning. One that takes longer than the 250 ms for which it is used is old as soon as it is there, so each look at a rank made a new one: a late leader made itself later.

The age now counts from the end, and the next ranking comes at least four times its length later.

Evidence: fillerRanks.spec 'guards against rankings that follow each other ...' fails with the code before (20 rankings in place of 1).

--- a/packages/workflow-control/__tests__/fillerRanks.spec.ts
+++ b/packages/workflow-control/__tests__/fillerRanks.spec.ts
@@ -34,6 +34,7 @@
   const submittedMs = Date.now()
   let nowMs = 0
   let rankings = 0
+  let rankingMs = 0
   const ranks = fillerRanks.createFillerRanks({
     view: state.view,
     expected,
@@ -43,6 +44,7 @@
     work: workMeter.createWorkMeter(() => nowMs),
     eligibleWorkers: () => {
       rankings += 1
+      nowMs += rankingMs
       return [{ description: WORKER, badEnds: 0 }]
     },
   })
@@ -81,6 +83,10 @@
       state.apply({ nowMs: submittedMs, body: { $case: 'cancel', value: { job } } })
     },
     rankings: () => rankings,
+    /** Lets each ranking take some time from now on. */
+    slowDown: (ms: number) => {
+      rankingMs = ms
+    },
     pass: (elapsedMs: number) => {
       nowMs += elapsedMs
     },
@@ -117,6 +123,14 @@
     expect(rankings()).toBe(1)
   })
 
+  it('guards against rankings that follow each other when each takes longer than its result is used', () => {
+    const { ranks, submit, rankings, slowDown } = createCell()
+    const step = submit('first', 2)
+    slowDown(300)
+    for (let look = 0; look < 20; look += 1) ranks.rankOf(step)
+    expect(rankings()).toBe(1)
+  })
+
   it('ranks a job at once that came after the last ranking', () => {
     const { ranks, submit } = createCell()
     expect(ranks.rankOf(submit('first', 2))).toBe(0)
--- a/packages/workflow-control/src/fillerRanks.ts
+++ b/packages/workflow-control/src/fillerRanks.ts
@@ -8,6 +8,9 @@
 /** Age above which ranks are worked out again, in milliseconds: about half the interval of the workers' lists. */
 const MAX_AGE_MS = 250
 
+/** Pause after a ranking, in lengths of that ranking: rankings then take at most a fifth of the loop. */
+const PAUSE_FACTOR = 4
+
 /** Images from which the supply is estimated; more of them change the mean little. */
 const SUPPLY_IMAGES = 4
 
@@ -20,7 +23,7 @@
   readonly timeOfDayMs?: () => number
   /** Progress of a task in percent: of its run, or of its checkpoint while it waits. */
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
-  readonly work: Pick<workMeter.WorkMeter, 'measure'>
+  readonly work: Pick<workMeter.WorkMeter, 'count' | 'measure'>
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
 }
 
@@ -40,6 +43,7 @@
   const timeOfDayMs = options.timeOfDayMs ?? clocks.SYSTEM_CLOCK.timeOfDayMs
   let ranks: ReadonlyMap<string, number> = new Map()
   let rankedMs = Number.NEGATIVE_INFINITY
+  let pauseMs = 0
 
   /** Part of a task that is left, from 0 to 1. */
   const leftOf = (step: workflowState.StepView, task: workflowState.TaskView): number => {
@@ -94,7 +98,8 @@
   }
 
   const rank = (): void => {
-    rankedMs = nowMs()
+    options.work.count('rankings')
+    const startedMs = nowMs()
     const next = new Map<string, number>()
     const workers = options.eligibleWorkers()
     for (const [service, steps] of competing()) {
@@ -114,6 +119,8 @@
       }
     }
     ranks = next
+    rankedMs = nowMs()
+    pauseMs = PAUSE_FACTOR * (rankedMs - startedMs)
   }
 
   return {
@@ -121,7 +128,9 @@
       const key = occurrenceKey(step)
       // A job that has ended does not compete, so a new ranking would not hold it either.
       const isMissing = !ranks.has(key) && step.job.phase === 'active'
-      if (isMissing || nowMs() - rankedMs > MAX_AGE_MS) options.work.measure('rank', rank)
+      const ageMs = nowMs() - rankedMs
+      const isDue = ageMs >= pauseMs && (isMissing || ageMs > MAX_AGE_MS)
+      if (isDue) options.work.measure('rank', rank)
       return ranks.get(key) ?? Number.MAX_SAFE_INTEGER
     },
   }
--- a/packages/workflow-control/src/loopWatch.ts
+++ b/packages/workflow-control/src/loopWatch.ts
@@ -43,6 +43,7 @@
       ranksMs: Math.round(spentMs.rank - logged.spentMs.rank),
       reports: counts.reports - logged.counts.reports,
       rounds: counts.rounds - logged.counts.rounds,
+      rankings: counts.rankings - logged.counts.rankings,
       proposals: counts.proposals - logged.counts.proposals,
       commits: counts.commits - logged.counts.commits,
     })
--- a/packages/workflow-control/src/workMeter.ts
+++ b/packages/workflow-control/src/workMeter.ts
@@ -1,6 +1,7 @@
 /** Counts what a control replica does on its loop, and the time that the parts of this work take. */
 
-export type WorkCount = 'reports' | 'rounds' | 'tasksLookedAt' | 'proposals' | 'commits'
+export type WorkCount =
+  'reports' | 'rounds' | 'tasksLookedAt' | 'rankings' | 'proposals' | 'commits'
 
 /** `rank` is work that the other parts cause, so its time is also part of theirs. */
 export type WorkPart = 'plan' | 'report' | 'sweep' | 'rank'
@@ -30,7 +31,14 @@
 }
 
 export const createWorkMeter = (nowMs: () => number): WorkMeter => {
-  const counts = { reports: 0, rounds: 0, tasksLookedAt: 0, proposals: 0, commits: 0 }
+  const counts = {
+    reports: 0,
+    rounds: 0,
+    tasksLookedAt: 0,
+    rankings: 0,
+    proposals: 0,
+    commits: 0,
+  }
   const spentMs = { plan: 0, report: 0, sweep: 0, rank: 0 }
   const fillerMs = { waiting: 0, starting: 0, paused: 0, slowed: 0, shared: 0, working: 0, lost: 0 }
   return {
