fix(workflow): choose the filling jobs that can be in time together, and let the others disturb nobody

Cause: the order of the ranking follows learned durations and flips in the middle of a job, and every job that is not chosen gets fillers too: where a worker bears half of one, and one a step after 2 s anywhere. They take memory and headroom of the tails from those that could be in time, and disturb serving tasks for work that earns nothing.

Fillers of other jobs go only where they disturb no serving task.

New cases of the choice fail on the code before, which has no choice.

--- a/packages/experiment/src/fillers/variants.ts
+++ b/packages/experiment/src/fillers/variants.ts
@@ -18,7 +18,16 @@
 
 const firstComeFirstServed = (parts: TermParts): TermParts => ({
   ...parts,
-  createFillerRanks: () => ({ rankOf: ({ job }) => job.submittedMs }),
+  createFillerRanks: () => ({ rankOf: ({ job }) => job.submittedMs, isChosen: () => true }),
+})
+
+/** Ranks as they are, without the choice of jobs by supply. */
+const allMayDisturb = (parts: TermParts): TermParts => ({
+  ...parts,
+  createFillerRanks: (options) => ({
+    ...parts.createFillerRanks(options),
+    isChosen: () => true,
+  }),
 })
 
 const withoutMoves = (parts: TermParts): TermParts => ({
@@ -134,6 +143,7 @@
 export const VARIANTS: readonly Variant[] = [
   { name: 'as it is', change: (parts) => parts },
   { name: 'no ranks', change: firstComeFirstServed },
+  { name: 'all may disturb', change: allMayDisturb },
   { name: 'no moves', change: withoutMoves },
   { name: 'moves by group', change: movesByGroup },
   { name: 'place by use', change: placeByUse(USED_SHARE) },
--- a/packages/workflow-control/__tests__/assignmentRounds.spec.ts
+++ b/packages/workflow-control/__tests__/assignmentRounds.spec.ts
@@ -57,6 +57,7 @@
       return [{ description: WORKER, badEnds: 0 }]
     },
     fillerRank: () => 0,
+    mayDisturb: () => true,
     avoids: () => false,
     start: () => undefined,
   })
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -29,6 +29,7 @@
   /** Workers that may get new runs now. */
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
   readonly fillerRank: scheduling.PlacementInput['fillerRank']
+  readonly mayDisturb: (step: workflowState.StepView) => boolean
   readonly avoids: scheduling.PlacementInput['avoids']
   /** @default `planAssignments` of the scheduling package */
   readonly planAssignments?: typeof scheduling.planAssignments
@@ -91,6 +92,7 @@
         maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
         disturbance,
         fillerRank: options.fillerRank,
+        mayDisturb: options.mayDisturb,
         waitedMs,
         avoids: options.avoids,
       }),
--- a/packages/workflow-control/src/fillerRanks.ts
+++ b/packages/workflow-control/src/fillerRanks.ts
@@ -30,6 +30,8 @@
 export interface FillerRanks {
   /** Rank of a filling step; a lower one goes first. */
   readonly rankOf: (step: workflowState.StepView) => number
+  /** Whether there is supply for a filling step's job; others may not disturb serving tasks. */
+  readonly isChosen: (step: workflowState.StepView) => boolean
 }
 
 const occurrenceKey = ({ job, occurrence }: workflowState.StepView): string =>
@@ -42,6 +44,8 @@
   const { view, expected, nowMs, percentOf } = options
   const timeOfDayMs = options.timeOfDayMs ?? clocks.SYSTEM_CLOCK.timeOfDayMs
   let ranks: ReadonlyMap<string, number> = new Map()
+  /** Occurrences that the newest ranking has chosen. */
+  let chosen: ReadonlySet<string> = new Set()
   let rankedMs = Number.NEGATIVE_INFINITY
   let pauseMs = 0
 
@@ -101,6 +105,7 @@
     options.work.count('rankings')
     const startedMs = nowMs()
     const next = new Map<string, number>()
+    const nextChosen = new Set<string>()
     const workers = options.eligibleWorkers()
     for (const [service, steps] of competing()) {
       const input = {
@@ -111,27 +116,35 @@
       }
       const samples = new Map([...steps.values()].map((step) => [step.spec.image, step]))
       const supply = scheduling.fillingSupply(input, [...samples.values()].slice(0, SUPPLY_IMAGES))
-      for (const [key, place] of scheduling.rankFillingJobs(
-        [...steps.values()].map(jobOf),
-        supply,
-      )) {
-        next.set(key, place)
-      }
+      const jobs = [...steps.values()].map(jobOf)
+      const order = scheduling.rankFillingJobs(jobs, supply, chosen)
+      for (const [key, place] of order.ranks) next.set(key, place)
+      for (const key of order.chosen) nextChosen.add(key)
     }
     ranks = next
+    chosen = nextChosen
     rankedMs = nowMs()
     pauseMs = PAUSE_FACTOR * (rankedMs - startedMs)
   }
 
+  const rankIfOld = (step: workflowState.StepView, key: string): void => {
+    // A job that has ended does not compete, so a new ranking would not hold it either.
+    const isMissing = !ranks.has(key) && step.job.phase === 'active'
+    const ageMs = nowMs() - rankedMs
+    if (ageMs < pauseMs || !(isMissing || ageMs > MAX_AGE_MS)) return
+    options.work.measure('rank', rank)
+  }
+
   return {
     rankOf: (step) => {
       const key = occurrenceKey(step)
-      // A job that has ended does not compete, so a new ranking would not hold it either.
-      const isMissing = !ranks.has(key) && step.job.phase === 'active'
-      const ageMs = nowMs() - rankedMs
-      const isDue = ageMs >= pauseMs && (isMissing || ageMs > MAX_AGE_MS)
-      if (isDue) options.work.measure('rank', rank)
+      rankIfOld(step, key)
       return ranks.get(key) ?? Number.MAX_SAFE_INTEGER
     },
+    isChosen: (step) => {
+      const key = occurrenceKey(step)
+      rankIfOld(step, key)
+      return chosen.has(key)
+    },
   }
 }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -454,6 +454,7 @@
       workers,
       disturbance,
       fillerRank: ranks.rankOf,
+      mayDisturb: ranks.isChosen,
     })
     for (const [key, load] of view.loads) {
       const heardMs = Math.max(listedMs.get(key) ?? listeningSinceMs, listeningSinceMs)
@@ -526,6 +527,7 @@
     disturbance,
     eligibleWorkers,
     fillerRank: ranks.rankOf,
+    mayDisturb: ranks.isChosen,
     avoids: (place, worker) => badPlaces.get(workflowState.taskKey(place))?.has(worker) ?? false,
     planAssignments: parts.planAssignments,
     start: sendStarts,
--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -122,6 +122,21 @@
     expect(cell.plan()).toEqual(['other.0.0 v', 'other.0.1 v'])
   })
 
+  it.each([
+    { name: 'where it disturbs nobody', mayDisturb: false, workers: ['w', 'w', 'w', 'w'] },
+    { name: 'anywhere', mayDisturb: true, workers: ['v', 'v', 'w', 'w', 'w', 'w'] },
+  ])('a filler without and with supply for its job goes $name', ({ mayDisturb, workers }) => {
+    const roomForFour = { cpuMillis: 16_000, memoryMb: 40, accelerators: 0 }
+    const cell = createCell([worker('v'), worker('w', { capacity: roomForFour })])
+    for (const [list, tailMs] of [10, 11].entries()) {
+      const serving = [{ key: 's', image: 'i', tailMs, targetMs: 50 }]
+      cell.disturbance.observe('v@1', { serving, filling: [] }, list * 400)
+    }
+    cell.submit('fill', [step({ taskCount: 6, filling: true, image: 'f' })])
+    const plan = cell.plan({ mayDisturb: () => mayDisturb, waitedMs: () => 10_000 })
+    expect([...workersOf(plan)].sort()).toEqual(workers)
+  })
+
   it.each([
     { name: 'waits for a better place at first', waitedMs: 0, planned: 0 },
     { name: 'starts one task in a bad place after a while', waitedMs: 10_000, planned: 1 },
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -28,6 +28,8 @@
   readonly disturbance: pacing.Disturbance
   /** Rank of a filling step's job; a lower one goes first. See `rankFillingJobs`. */
   readonly fillerRank: (step: workflowState.StepView) => number
+  /** Whether fillers of the step may work where they disturb serving tasks. @default all may */
+  readonly mayDisturb?: (step: workflowState.StepView) => boolean
   /** Time for which a step has been ready, in milliseconds. */
   readonly waitedMs: (step: workflowState.StepView) => number
 }
@@ -35,7 +37,10 @@
 /** Rank to which every filler makes way. */
 const FIRST_RANK = -1
 
-type FillingInput = Pick<PlacementInput, 'view' | 'workers' | 'disturbance' | 'fillerRank'>
+type FillingInput = Pick<
+  PlacementInput,
+  'view' | 'workers' | 'disturbance' | 'fillerRank' | 'mayDisturb'
+>
 
 export interface Plan {
   readonly workers: readonly protocol.workflow.WorkerDescription[]
@@ -177,17 +182,20 @@
 const createFillingRate = (
   step: workflowState.StepView,
   rank: number,
-  disturbance: pacing.Disturbance,
+  { disturbance, mayDisturb }: FillingInput,
 ): RateIn => {
   const { cpuMillis } = workflowState.claimOf(step.spec)
+  const isHarmlessOnly = mayDisturb?.(step) === false
   const bearableIn = new Map<Room, number>()
 
   const bearable = (room: Room): number => {
     const known = bearableIn.get(room)
     if (known !== undefined) return known
     const worked = disturbance.safeRoom(room.key, step.spec.image, rank)
-    bearableIn.set(room, worked)
-    return worked
+    const isHarmless = worked === Number.POSITIVE_INFINITY
+    const borne = isHarmlessOnly && !isHarmless ? 0 : worked
+    bearableIn.set(room, borne)
+    return borne
   }
 
   return (room, minRate) => {
@@ -208,10 +216,12 @@
 }
 
 /** What decides besides the rank where a filler of a step fits, and how fast it works there. */
-const kindOf = ({ spec, job }: workflowState.StepView): string => {
+const kindOf = (step: workflowState.StepView, { mayDisturb }: FillingInput): string => {
+  const { spec, job } = step
   const { cpuMillis, memoryMb, accelerators } = workflowState.claimOf(spec)
   return JSON.stringify([
     job.queue.service,
+    mayDisturb?.(step) !== false,
     spec.image,
     spec.requiredLabel,
     cpuMillis,
@@ -220,11 +230,11 @@
   ])
 }
 
-const createShortages = (): Shortages => {
+const createShortages = (input: FillingInput): Shortages => {
   const lowestRank = new Map<string, number>()
   const kinds = new Map<workflowState.StepView, string>()
   const keyOf = (step: workflowState.StepView, minRate: number): string => {
-    const kind = kinds.get(step) ?? kindOf(step)
+    const kind = kinds.get(step) ?? kindOf(step, input)
     kinds.set(step, kind)
     return `${minRate} ${kind}`
   }
@@ -284,8 +294,10 @@
   )
   const { filling } = step.spec
   const rank = filling ? input.fillerRank(step) : 0
-  const rateIn = createFillingRate(step, rank, input.disturbance)
-  const hasWaited = step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
+  const rateIn = createFillingRate(step, rank, input)
+  const mayDisturb = input.mayDisturb?.(step) !== false
+  const hasWaited =
+    mayDisturb && step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
   let tasksLookedAt = 0
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
@@ -351,7 +363,7 @@
     })
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
-  const shortages = createShortages()
+  const shortages = createShortages(input)
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
@@ -371,14 +383,14 @@
 }
 
 export const createFillingPlaces = (input: FillingInput): FillingPlaces => {
-  const shortages = createShortages()
+  const shortages = createShortages(input)
   let rooms: readonly Room[] | undefined
   return {
     hasGoodPlace: (step) => {
       const rank = input.fillerRank(step)
       if (shortages.covers(step, rank, MIN_FILLING_RATE)) return false
       rooms ??= createRooms(input)
-      const rateIn = createFillingRate(step, rank, input.disturbance)
+      const rateIn = createFillingRate(step, rank, input)
       const isGood = rooms.some(
         (room) => isSuitable(room, step) && rateIn(room, MIN_FILLING_RATE) > 0,
       )
@@ -393,7 +405,7 @@
 
 /** Share of full speed that a filler could reach on the best of `workers`. */
 export const bestFillingRate = (input: FillingInput, step: workflowState.StepView): number => {
-  const rateIn = createFillingRate(step, input.fillerRank(step), input.disturbance)
+  const rateIn = createFillingRate(step, input.fillerRank(step), input)
   const suitable = createRooms(input).filter((room) => isSuitable(room, step))
   return Math.min(1, Math.max(0, ...suitable.map((room) => rateIn(room, 0))))
 }
