fix(workflow-scheduling): let no filling job stand still while most processors are free

What callers saw: nothing yet; found by reading the choice of filling jobs. A job that is not chosen goes only where it disturbs no serving task. Where each worker has a serving task, a late job could stand still as long as others are chosen, even on a deployment that is mostly free.

On a busier deployment the job goes on waiting for supply.

Evidence: placement.spec 'guards against a job without supply that stands still beside free processors' fails with the code before (0 assignments), passes now.

--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -137,6 +137,29 @@
     expect([...workersOf(plan)].sort()).toEqual(workers)
   })
 
+  it.each([
+    {
+      name: 'guards against a job without supply that stands still beside free processors',
+      reservedMillis: 7_000,
+      planned: 1,
+    },
+    {
+      name: 'a job without supply waits while most processors are reserved',
+      reservedMillis: 9_000,
+      planned: 0,
+    },
+  ])('$name', ({ reservedMillis, planned }) => {
+    const cell = createCell([worker('v')])
+    const claim = { cpuMillis: reservedMillis, memoryMb: 10, accelerators: 0 }
+    cell.submit('serve', [step({ lasting: true, tailTargetMs: 50, claim, image: 'i' })])
+    cell.plan()
+    const serving = [{ key: 's', image: 'i', tailMs: 10, targetMs: 50 }]
+    cell.disturbance.observe('v@1', { serving, filling: [] }, 0)
+    cell.submit('fill', [step({ taskCount: 6, filling: true, image: 'f' })])
+    const plan = cell.plan({ mayDisturb: () => false, waitedMs: () => 10_000 })
+    expect(plan).toHaveLength(planned)
+  })
+
   it.each([
     { name: 'waits for a better place at first', waitedMs: 0, planned: 0 },
     { name: 'starts one task in a bad place after a while', waitedMs: 10_000, planned: 1 },
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -275,6 +275,17 @@
 const isRackOfStep = (racks: ReadonlySet<string>, rack: string): boolean =>
   racks.size === 0 || racks.has(rack)
 
+/** Whether less than half of the processors of `rooms` are reserved: no step has to stand still then. */
+const isMostlyFree = (rooms: readonly Room[]): boolean => {
+  let freeMillis = 0
+  let allMillis = 0
+  for (const { cpuMillis, capacity } of rooms) {
+    freeMillis += cpuMillis
+    allMillis += capacity.cpuMillis
+  }
+  return freeMillis > allMillis / 2
+}
+
 /** Plans a step: the tasks of a gang all or none, others as far as there is room. */
 const planStep = (
   input: PlacementInput,
@@ -295,7 +306,7 @@
   const { filling } = step.spec
   const rank = filling ? input.fillerRank(step) : 0
   const rateIn = createFillingRate(step, rank, input)
-  const mayDisturb = input.mayDisturb?.(step) !== false
+  const mayDisturb = input.mayDisturb?.(step) !== false || isMostlyFree(suitable)
   const hasWaited =
     mayDisturb && step.assignedCount === 0 && input.waitedMs(step) >= MAX_FILLER_WAIT_MS
   let tasksLookedAt = 0
