--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -4,6 +4,7 @@
 import type * as durations from './durations.js'
 import * as order from './order.js'
 import type * as pacing from './pacing.js'
+import * as shortages from './shortages.js'
 import * as unusedCpu from './unusedCpu.js'
 
 /** Worker that may get new runs. */
@@ -208,47 +209,6 @@
   }
 }
 
-/** Remembers for which fillers there was no place, while the places do not get better. */
-interface Shortages {
-  readonly note: (step: workflowState.StepView, rank: number, minRate: number) => void
-  /** Whether a filler like this one, of this rank or one that goes before it, found no place at such a rate. */
-  readonly covers: (step: workflowState.StepView, rank: number, minRate: number) => boolean
-}
-
-/** What decides besides the rank where a filler of a step fits, and how fast it works there. */
-const kindOf = (step: workflowState.StepView, { mayDisturb }: FillingInput): string => {
-  const { spec, job } = step
-  const { cpuMillis, memoryMb, accelerators } = workflowState.claimOf(spec)
-  return JSON.stringify([
-    job.queue.service,
-    mayDisturb?.(step) !== false,
-    spec.image,
-    spec.requiredLabel,
-    cpuMillis,
-    memoryMb,
-    accelerators,
-  ])
-}
-
-const createShortages = (input: FillingInput): Shortages => {
-  const lowestRank = new Map<string, number>()
-  const kinds = new Map<workflowState.StepView, string>()
-  const keyOf = (step: workflowState.StepView, minRate: number): string => {
-    const kind = kinds.get(step) ?? kindOf(step, input)
-    kinds.set(step, kind)
-    return `${minRate} ${kind}`
-  }
-  return {
-    note: (step, rank, minRate) => {
-      // The limits of a step, and of a gang that may be given up again, say nothing about other steps.
-      if (step.spec.maxPerWorker > 0 || step.spec.gang) return
-      const key = keyOf(step, minRate)
-      lowestRank.set(key, Math.min(rank, lowestRank.get(key) ?? rank))
-    },
-    covers: (step, rank, minRate) => rank >= (lowestRank.get(keyOf(step, minRate)) ?? Infinity),
-  }
-}
-
 /**
  * Cost of a worker for a task; the lowest one is chosen. Tasks that reserve processors are packed, which leaves workers
  * without serving tasks to the fillers that would disturb them. Fillers are spread by the room that there is for them: a tail
@@ -292,7 +252,7 @@
   rooms: readonly Room[],
   step: workflowState.StepView,
   limit: number,
-  shortages: Shortages,
+  noPlace: shortages.Shortages,
 ): Pick<Plan, 'assignments' | 'tasksLookedAt'> => {
   const planned: { readonly assignment: protocol.workflow.Assignment; readonly room: Room }[] = []
   const suitable = rooms.filter(
@@ -317,7 +277,7 @@
     tasksLookedAt += 1
     // One slow task keeps a step going; more of them would only disturb and slow the fillers that are there.
     const minRate = hasWaited && planned.length === 0 ? 0 : MIN_FILLING_RATE
-    if (filling && shortages.covers(step, rank, minRate)) break
+    if (filling && noPlace.covers(step, rank, minRate)) break
     let best: Room | undefined
     let bestCost = Number.POSITIVE_INFINITY
     for (const room of suitable) {
@@ -330,7 +290,7 @@
       bestCost = cost
     }
     if (best === undefined) {
-      if (filling) shortages.note(step, rank, minRate)
+      if (filling) noPlace.note(step, rank, minRate)
       break
     }
     reserve(best, step, rank)
@@ -374,11 +334,11 @@
     })
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
-  const shortages = createShortages(input)
+  const noPlace = shortages.createShortages(input.mayDisturb)
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
-    const planned = planStep(input, rooms, step, limit, shortages)
+    const planned = planStep(input, rooms, step, limit, noPlace)
     assignments.push(...planned.assignments)
     tasksLookedAt += planned.tasksLookedAt
   }
@@ -394,18 +354,18 @@
 }
 
 export const createFillingPlaces = (input: FillingInput): FillingPlaces => {
-  const shortages = createShortages(input)
+  const noPlace = shortages.createShortages(input.mayDisturb)
   let rooms: readonly Room[] | undefined
   return {
     hasGoodPlace: (step) => {
       const rank = input.fillerRank(step)
-      if (shortages.covers(step, rank, MIN_FILLING_RATE)) return false
+      if (noPlace.covers(step, rank, MIN_FILLING_RATE)) return false
       rooms ??= createRooms(input)
       const rateIn = createFillingRate(step, rank, input)
       const isGood = rooms.some(
         (room) => isSuitable(room, step) && rateIn(room, MIN_FILLING_RATE) > 0,
       )
-      if (!isGood) shortages.note(step, rank, MIN_FILLING_RATE)
+      if (!isGood) noPlace.note(step, rank, MIN_FILLING_RATE)
       return isGood
     },
   }
