--- a/packages/model-check/src/runScenarios.ts
+++ b/packages/model-check/src/runScenarios.ts
@@ -1,6 +1,7 @@
 import type * as runSteps from './runSteps.js'
+import type * as runWorld from './runWorld.js'
 
-const NO_FAULTS: runSteps.RunBudget = {
+const NO_FAULTS: runWorld.FaultCounts = {
   crashes: 0,
   copies: 0,
   refusals: 0,
--- a/packages/model-check/src/runSteps.ts
+++ b/packages/model-check/src/runSteps.ts
@@ -6,24 +6,11 @@
 type World = runWorld.RunWorld
 type Worker = runWorld.ModelWorker
 
-/** How often each kind of fault may happen in one trace. */
-export interface RunBudget {
-  readonly crashes: number
-  /** Second copies of orders that had no answer. */
-  readonly copies: number
-  readonly refusals: number
-  readonly lapses: number
-  readonly failures: number
-  /** Agent processes that are killed and start again. */
-  readonly agentRestarts: number
-  readonly leaderChanges: number
-  readonly cancels: number
-}
-
 export interface RunScenario {
   readonly name: string
   readonly protection: keyof runWorld.RunGuards
-  readonly budget: RunBudget
+  /** How often each kind of fault may happen in one trace. */
+  readonly budget: runWorld.FaultCounts
   /**
    * Whether orders take separate steps from the leader to the agent and from there to the worker, and agents attach to a
    * new leader one by one. The job then has one step, so that all orders of events can be visited.
--- a/packages/model-check/src/runStreams.ts
+++ b/packages/model-check/src/runStreams.ts
@@ -9,7 +9,7 @@
 
 export interface RunStreamOptions {
   readonly guards: runWorld.RunGuards
-  readonly budget: runSteps.RunBudget
+  readonly budget: runWorld.FaultCounts
   readonly hasStreams: boolean
   /** The agent reports that a run will not start. */
   readonly reject: (world: World, worker: Worker, run: runWorld.TaskRun) => World
--- a/packages/model-check/src/runWorld.ts
+++ b/packages/model-check/src/runWorld.ts
@@ -100,7 +100,22 @@
   readonly barred: Readonly<Record<string, number>>
 }
 
-export interface RunWorld {
+/** Faults by kind: those of a trace so far, or as many as it may have. */
+export interface FaultCounts {
+  readonly crashes: number
+  /** Second copies of orders that had no answer. */
+  readonly copies: number
+  readonly refusals: number
+  readonly lapses: number
+  readonly failures: number
+  /** Agent processes that are killed and start again. */
+  readonly agentRestarts: number
+  /** Leaders before the current one; their number is its term. */
+  readonly leaderChanges: number
+  readonly cancels: number
+}
+
+export interface RunWorld extends FaultCounts {
   readonly log: readonly Body[]
   readonly workers: readonly ModelWorker[]
   /** Incarnation that the leader knows, by worker id. */
@@ -115,15 +130,6 @@
   readonly startedAgain: readonly string[]
   /** Runs that started on an order which was sent after the cancellation of their job. */
   readonly startedCancelled: readonly string[]
-  readonly crashes: number
-  readonly copies: number
-  readonly refusals: number
-  readonly lapses: number
-  readonly failures: number
-  readonly agentRestarts: number
-  /** Leaders before the current one; their number is its term. */
-  readonly leaderChanges: number
-  readonly cancels: number
 }
 
 /** Name of a failure domain and a service that all workers of the model share. */
