feat(workflow-control): log the leader's work once per second

Cause: nothing showed which part of the leader's event loop grows with the fleet; a line came only when a turn took over 250 ms.

--- a/packages/bench/src/leader/main.ts
+++ b/packages/bench/src/leader/main.ts
@@ -10,7 +10,7 @@
 const SECOND_MS = 1_000
 
 const PARTS = ['plan', 'report', 'sweep', 'rank'] as const
-const COUNTS = ['rounds', 'tasksLookedAt', 'reports', 'proposals'] as const
+const COUNTS = ['rounds', 'tasksLookedAt', 'workersLookedAt', 'reports', 'proposals'] as const
 
 const print = (line: string): void => void process.stdout.write(`${line}\n`)
 
--- a/packages/experiment/src/fillers/variants.ts
+++ b/packages/experiment/src/fillers/variants.ts
@@ -95,6 +95,7 @@
       workers: [...new Set([...latencyCritical.workers, ...bestEffort.workers])],
       assignments: [...latencyCritical.assignments, ...bestEffort.assignments],
       tasksLookedAt: latencyCritical.tasksLookedAt + bestEffort.tasksLookedAt,
+      workersLookedAt: latencyCritical.workersLookedAt + bestEffort.workersLookedAt,
     }
   }
 
--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -7,6 +7,7 @@
 import * as grpcServer from '../src/grpcServer.js'
 import type * as leaderTerm from '../src/leaderTerm.js'
 import type * as workerSession from '../src/workerSession.js'
+import * as workStatistics from '../src/workStatistics.js'
 
 const { afterEach, describe, expect, it } = vitest
 
@@ -66,6 +67,7 @@
     options: { cell: 'c', grpcAddress },
     replica: { leadership: () => ({ ...replica, term: 1 }) },
     nowMs: () => performance.now(),
+    work: workStatistics.createWorkStatistics(() => performance.now()),
     hint: () => ({ leader: '', members: [] }),
   } as unknown as context.ControlContext
   const server = grpcServer.createGrpcServer(ctx, {
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -101,6 +101,7 @@
     if (plan.assignments.length < MAX_ASSIGNMENTS_PER_ROUND) pauseAfter(scope, beforeMs)
     ctx.work.count('rounds')
     ctx.work.count('tasksLookedAt', plan.tasksLookedAt)
+    ctx.work.count('workersLookedAt', plan.workersLookedAt)
     if (plan.assignments.length === 0) return
     const result = await ctx.propose({ $case: 'assign', value: plan })
     if (result.isErr() || result.value.kind !== 'assigned') return
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -104,7 +104,9 @@
     }
     attachedTerm = term
     session ??= term.attach(report.agent, {
-      send: (orders) => call.write(orders),
+      send: (orders) => {
+        ctx.work.measure('send', () => call.write(orders))
+      },
       end: () => {
         call.end()
       },
@@ -122,7 +124,13 @@
 
 export const createGrpcServer = (ctx: context.ControlContext, parts: ServerParts): GrpcServer => {
   const server = new grpc.Server(peerTransport.CHANNEL_OPTIONS)
-  const replication = peerTransport.createReplicationService(ctx.replica)
+  const replication = peerTransport.createReplicationService({
+    deliver: (envelope) => {
+      ctx.work.measure('receive', () => {
+        ctx.replica.deliver(envelope)
+      })
+    },
+  })
   const { grpcAddress } = ctx.options
   server.addService(protocol.replication.ReplicationService, { ...replication.handlers })
   server.addService(protocol.workflow.WorkflowService, {
--- a/packages/workflow-control/src/workStatistics.ts
+++ b/packages/workflow-control/src/workStatistics.ts
@@ -1,10 +1,15 @@
 /** Counts the work that a control replica does on its event loop, and the time spent in each part of it. */
 
 export type WorkCount =
-  'reports' | 'rounds' | 'tasksLookedAt' | 'rankings' | 'proposals' | 'commits'
+  'reports' | 'rounds' | 'tasksLookedAt' | 'workersLookedAt' | 'rankings' | 'proposals' | 'commits'
 
-/** `rank` runs within the other parts, so its time is included in theirs. */
-export type WorkPart = 'plan' | 'report' | 'sweep' | 'rank'
+/**
+ * Parts of the work: the leader's planning, handling of agents' reports and sweeps; sending orders to agents; receiving and
+ * sending replication messages; applying committed commands. `rank`, `send`, `replicate` and `apply` run within other
+ * parts, so their time is included in that of those.
+ */
+export type WorkPart =
+  'plan' | 'report' | 'sweep' | 'rank' | 'send' | 'receive' | 'replicate' | 'apply'
 
 /**
  * How a best-effort (`filling`) task spends its time: waiting for a worker, assigned but not yet listed, paused, slowed by
@@ -34,11 +39,21 @@
     reports: 0,
     rounds: 0,
     tasksLookedAt: 0,
+    workersLookedAt: 0,
     rankings: 0,
     proposals: 0,
     commits: 0,
   }
-  const spentMs = { plan: 0, report: 0, sweep: 0, rank: 0 }
+  const spentMs = {
+    plan: 0,
+    report: 0,
+    sweep: 0,
+    rank: 0,
+    send: 0,
+    receive: 0,
+    replicate: 0,
+    apply: 0,
+  }
   const bestEffortMs = {
     waiting: 0,
     starting: 0,
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -1,4 +1,5 @@
 /** Control role for graph jobs: one replica, its servers and, while it leads, the leader's term. */
+import * as perfHooks from 'node:perf_hooks'
 import * as timers from 'node:timers/promises'
 import * as peerTransport from '@ebonyweir/peer-transport'
 import * as protocol from '@ebonyweir/protocol'
@@ -17,6 +18,7 @@
 import * as membership from './membership.js'
 import type * as options from './options.js'
 import * as suspension from './suspension.js'
+import * as workLogs from './workLog.js'
 import * as workStatistics from './workStatistics.js'
 
 /** Interval at which leadership and due occurrences are checked, in milliseconds. */
@@ -68,8 +70,10 @@
 
 const createStateMachine = (
   state: workflowState.WorkflowState,
+  work: workStatistics.WorkStatistics,
 ): replica.StateMachine<workflowState.Outcome> => ({
-  apply: ({ payload }) => state.apply(protocol.workflow.WorkflowCommand.decode(payload)),
+  apply: ({ payload }) =>
+    work.measure('apply', () => state.apply(protocol.workflow.WorkflowCommand.decode(payload))),
   snapshot: () => state.snapshot(),
   restore: (bytes) => {
     state.restore(bytes)
@@ -88,6 +92,12 @@
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   const work = workStatistics.createWorkStatistics(nowMs)
   const loopMonitor = eventLoopMonitor.createEventLoopMonitor({ nowMs, logger, work })
+  const workLog = workLogs.createWorkLog({
+    logger,
+    work,
+    busyMs: () => perfHooks.performance.eventLoopUtilization().active,
+    isLeading: () => node?.leadership().role === 'leader',
+  })
   const commitMonitor = commitStallMonitor.createCommitStallMonitor({ nowMs, logger })
   let node: replica.Replica<workflowState.Outcome> | undefined
   let term: leaderTerms.LeaderTerm | undefined
@@ -160,8 +170,15 @@
       cell: controlOptions.cell,
       dataFolder: controlOptions.dataFolder,
       fileSystem: controlOptions.fileSystem,
-      stateMachine: createStateMachine(state),
-      transport: peers,
+      stateMachine: createStateMachine(state, work),
+      transport: {
+        ...peers,
+        send: (envelope, address) => {
+          work.measure('replicate', () => {
+            peers.send(envelope, address)
+          })
+        },
+      },
       consensus: {
         heartbeatMs: timing.heartbeatMs,
         electionTimeoutMinMs: timing.electionTimeoutMinMs,
@@ -198,6 +215,7 @@
     own.start()
     group.start()
     loopMonitor.start()
+    workLog.start()
     let busy = false
     const timer = setInterval(() => {
       followLeadership(ctx)
@@ -212,6 +230,7 @@
       stop: async () => {
         clearInterval(timer)
         loopMonitor.stop()
+        workLog.stop()
         group.stop()
         term?.stop()
         term = undefined
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -48,6 +48,8 @@
   readonly assignments: readonly protocol.workflow.Assignment[]
   /** Waiting tasks for which a worker was searched. */
   readonly tasksLookedAt: number
+  /** Workers considered for those tasks; a worker counts once for each task that considered it. */
+  readonly workersLookedAt: number
 }
 
 /** Candidate for the tasks of a plan, with its free capacity while the plan is made. */
@@ -255,7 +257,7 @@
   step: workflowState.StepView,
   limit: number,
   failures: placementFailures.PlacementFailures,
-): Pick<Plan, 'assignments' | 'tasksLookedAt'> => {
+): Omit<Plan, 'workers'> => {
   const planned: {
     readonly assignment: protocol.workflow.Assignment
     readonly candidate: CandidateWorker
@@ -275,6 +277,7 @@
   const hasWaited =
     mayDisturb && step.assignedCount === 0 && input.waitedMs(step) >= MAX_BEST_EFFORT_WAIT_MS
   let tasksLookedAt = 0
+  let workersLookedAt = 0
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
     if (planned.length >= limit && !step.spec.gang) break
@@ -286,6 +289,7 @@
     let best: CandidateWorker | undefined
     let bestCost = Number.POSITIVE_INFINITY
     for (const candidate of suitable) {
+      workersLookedAt += 1
       if (!hasCapacity(candidate, step)) continue
       const rate = filling ? rateOn(candidate, minRate) : 1
       if (rate < minRate) continue
@@ -310,9 +314,10 @@
   }
   if (step.spec.gang && planned.length < step.spec.taskCount) {
     for (const { candidate } of planned) release(candidate, step)
-    return { assignments: [], tasksLookedAt }
+    return { assignments: [], tasksLookedAt, workersLookedAt }
   }
-  return { assignments: planned.map(({ assignment }) => assignment), tasksLookedAt }
+  const assignments = planned.map(({ assignment }) => assignment)
+  return { assignments, tasksLookedAt, workersLookedAt }
 }
 
 const release = (candidate: CandidateWorker, step: workflowState.StepView): void => {
@@ -329,7 +334,9 @@
 /** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
 export const planAssignments = (input: PlacementInput): Plan => {
   const { view } = input
-  if (view.readySteps.size === 0) return { workers: [], assignments: [], tasksLookedAt: 0 }
+  if (view.readySteps.size === 0) {
+    return { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
+  }
   const candidates = createCandidates(input)
   const ordered = [...view.readySteps]
     .filter(({ spec }) => input.skipBestEffort !== true || !spec.filling)
@@ -345,6 +352,7 @@
     })
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
+  let workersLookedAt = 0
   const failures = placementFailures.createPlacementFailures(input.mayDisturb)
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
@@ -352,12 +360,13 @@
     const planned = planStep(input, candidates, step, limit, failures)
     assignments.push(...planned.assignments)
     tasksLookedAt += planned.tasksLookedAt
+    workersLookedAt += planned.workersLookedAt
   }
   const used = new Set(assignments.map(({ worker }) => worker && workflowState.workerKey(worker)))
   const workers = candidates
     .filter(({ key }) => used.has(key))
     .map(({ worker }) => worker.description)
-  return { workers, assignments, tasksLookedAt }
+  return { workers, assignments, tasksLookedAt, workersLookedAt }
 }
 
 /** Search for workers for best-effort tasks; valid as long as the view and the interference model do not change. */
