perf(workflow-scheduling): look up learned interference without a key and an exponential

Cause: each lookup of a pair's amount built a string key and computed the decay. Change: estimates are kept by latency-critical image, then by best-effort image, and decay in place once they are older than 250 ms; the tolerated count stops at the first task without headroom.

--- a/packages/workflow-scheduling/src/interference.ts
+++ b/packages/workflow-scheduling/src/interference.ts
@@ -34,6 +34,7 @@
 /** Prior for the utilization that a task of an unknown pair adds at full pace; two such tasks fit at average load. */
 const PRIOR_AMOUNT = 0.15
 const PRIOR_VARIANCE = 0.04
+const PRIOR_PLAUSIBLE_AMOUNT = PRIOR_AMOUNT + Math.sqrt(PRIOR_VARIANCE)
 
 /** Time constant with which the estimate of a paused pair decays to the prior. */
 const AMOUNT_DECAY_MS = 20_000
@@ -55,7 +56,10 @@
 /** Lower bound of the variance of an amount, so that the estimate keeps following slow changes. */
 const MIN_AMOUNT_VARIANCE = 0.0004
 
-/** Limit on learned pairs; the oldest one is evicted. */
+/** Age up to which an estimate counts as current; it decays by less than 2 % in this time. */
+const MAX_UNDECAYED_AGE_MS = 250
+
+/** Limit on learned pairs; beyond it, those of the latency-critical image that was seen first are evicted. */
 const MAX_PAIRS = 20_000
 
 interface AmountEstimate {
@@ -126,7 +130,9 @@
 }
 
 export const createInterferenceModel = (): InterferenceModel => {
-  const amounts = new Map<string, AmountEstimate>()
+  /** Learned estimates by latency-critical image, then by best-effort image. */
+  const amounts = new Map<string, Map<string, AmountEstimate>>()
+  let pairCount = 0
   /** Lowest observed tail latency of each latency-critical image, taken as the latency without load. */
   const minTailsMs = new Map<string, number>()
   const states = new Map<string, WorkerState>()
@@ -135,25 +141,41 @@
   /** Time of the latest list of any worker. */
   let observedMs = 0
 
-  const pairKey = (latencyCriticalImage: string, bestEffortImage: string): string =>
-    `${latencyCriticalImage}/${bestEffortImage}`
+  /** Brings a pair's estimate up to date: it decays to the prior while the pair is paused everywhere. */
+  const decay = (known: AmountEstimate): AmountEstimate => {
+    const ageMs = observedMs - known.usedMs
+    if (ageMs <= MAX_UNDECAYED_AGE_MS) return known
+    const kept = Math.exp(-ageMs / AMOUNT_DECAY_MS)
+    known.mean = PRIOR_AMOUNT + (known.mean - PRIOR_AMOUNT) * kept
+    known.variance = PRIOR_VARIANCE + (known.variance - PRIOR_VARIANCE) * kept
+    known.usedMs = observedMs
+    return known
+  }
 
-  /** Estimated amount of a pair; decays to the prior while the pair is paused everywhere. */
-  const amountOf = (key: string): AmountEstimate => {
-    const known = amounts.get(key)
-    if (known === undefined) {
-      return { mean: PRIOR_AMOUNT, variance: PRIOR_VARIANCE, usedMs: observedMs }
-    }
-    const decay = Math.exp(-(observedMs - known.usedMs) / AMOUNT_DECAY_MS)
-    return {
-      mean: PRIOR_AMOUNT + (known.mean - PRIOR_AMOUNT) * decay,
-      variance: PRIOR_VARIANCE + (known.variance - PRIOR_VARIANCE) * decay,
-      usedMs: observedMs,
-    }
+  const amount: InterferenceModel['amount'] = (latencyCriticalImage, bestEffortImage) => {
+    const known = amounts.get(latencyCriticalImage)?.get(bestEffortImage)
+    return known === undefined ? PRIOR_AMOUNT : decay(known).mean
+  }
+
+  /** Estimate of a pair, which is created if the pair is new. */
+  const learnedAmount = (latencyCriticalImage: string, bestEffortImage: string): AmountEstimate => {
+    const pairs = amounts.get(latencyCriticalImage) ?? new Map<string, AmountEstimate>()
+    const known = pairs.get(bestEffortImage)
+    if (known !== undefined) return decay(known)
+    const created = { mean: PRIOR_AMOUNT, variance: PRIOR_VARIANCE, usedMs: observedMs }
+    amounts.set(latencyCriticalImage, pairs.set(bestEffortImage, created))
+    pairCount += 1
+    return created
   }
 
-  const amount: InterferenceModel['amount'] = (latencyCriticalImage, bestEffortImage) =>
-    amountOf(pairKey(latencyCriticalImage, bestEffortImage)).mean
+  const evictPairs = (): void => {
+    if (pairCount <= MAX_PAIRS) return
+    const oldest = amounts.entries().next()
+    if (oldest.done === true) return
+    const [image, pairs] = oldest.value
+    amounts.delete(image)
+    pairCount -= pairs.size
+  }
 
   const utilizationOf = (image: string, tailMs: number): number => {
     const minTailMs = minTailsMs.get(image) ?? tailMs
@@ -226,10 +248,7 @@
   ): Pick<TailSample, 'load' | 'loadVariance'> => {
     const loadVariance = before.loadVariance + (LOAD_DRIFT_PER_S * (elapsedMs / 1_000)) ** 2
     const terms = [...shares].map(([bestEffortImage, share]) => {
-      const pair = pairKey(image, bestEffortImage)
-      const known = amountOf(pair)
-      amounts.set(pair, known)
-      return { known, share }
+      return { known: learnedAmount(image, bestEffortImage), share }
     })
     const expected = terms.reduce((sum, { known, share }) => sum + known.mean * share, before.load)
     const residual = utilization - expected
@@ -246,8 +265,7 @@
       known.mean = Math.min(MAX_AMOUNT, Math.max(0, known.mean + gain * residual))
       known.variance = Math.max(MIN_AMOUNT_VARIANCE, known.variance * (1 - gain * share))
     }
-    const oldest = amounts.keys().next()
-    if (amounts.size > MAX_PAIRS && oldest.done !== true) amounts.delete(oldest.value)
+    evictPairs()
     const gain = loadVariance / total
     const load = Math.min(MAX_LOAD, Math.max(0, before.load + gain * residual))
     return { load, loadVariance: loadVariance * (1 - gain) }
@@ -296,16 +314,19 @@
       if (sample !== undefined) state.samples.set(key, sample)
     }
     for (const { image } of neighbours.serving) {
+      const pairs = amounts.get(image)
       for (const task of neighbours.filling) {
-        const known = amounts.get(pairKey(image, task.image))
-        if (known !== undefined && task.pacePercent > 0) known.usedMs = nowMs
+        const known = task.pacePercent > 0 ? pairs?.get(task.image) : undefined
+        if (known !== undefined) known.usedMs = nowMs
       }
     }
   }
 
   /** Upper estimate of an amount, one standard deviation above the mean. */
   const plausibleAmount: InterferenceModel['amount'] = (latencyCriticalImage, bestEffortImage) => {
-    const { mean, variance } = amountOf(pairKey(latencyCriticalImage, bestEffortImage))
+    const known = amounts.get(latencyCriticalImage)?.get(bestEffortImage)
+    if (known === undefined) return PRIOR_PLAUSIBLE_AMOUNT
+    const { mean, variance } = decay(known)
     return mean + Math.sqrt(variance)
   }
 
@@ -322,18 +343,21 @@
     rank: number,
   ): number => {
     const { serving = [], filling = [] } = latestLists.get(worker) ?? {}
-    const shares = serving.map((task) => {
+    const state = states.get(worker)
+    let tolerated = Number.POSITIVE_INFINITY
+    for (const task of serving) {
       const effect = amountOfNew(task.image, bestEffortImage)
-      if (effect <= pacing.NEGLIGIBLE_AMOUNT) return Number.POSITIVE_INFINITY
-      let free = headroomOf(states.get(worker), task, pacing.SETPOINT_SHARE)
+      if (effect <= pacing.NEGLIGIBLE_AMOUNT) continue
+      let free = headroomOf(state, task, pacing.SETPOINT_SHARE)
       for (const neighbour of filling) {
         const share = neighbour.pacePercent / FULL_PERCENT
         const yields = (neighbour.rank ?? 0) > rank
         free += amount(task.image, neighbour.image) * (yields ? share : share - 1)
       }
-      return Math.max(0, free) / effect
-    })
-    return Math.min(...shares)
+      if (free <= 0) return 0
+      tolerated = Math.min(tolerated, free / effect)
+    }
+    return tolerated
   }
 
   const utilization: InterferenceModel['utilization'] = (worker, taskKey) => {
