perf(workflow-scheduling): place all tasks of a step in one pass over the workers

Cause: every waiting task computed the cost of every worker, and every ranking the supply of every worker, so both grew with the fleet times the width of a step. Change: the workers of a step are queued by cost (tinyqueue); a reservation renews the cost of its worker only. The spec of searches without a worker spied on a function that planning does not call; it now watches the one that is called and requires that it is.

--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -34,8 +34,16 @@
   readonly isChosen: (step: workflowState.StepView) => boolean
 }
 
-const occurrenceKey = ({ job, occurrence }: workflowState.StepView): string =>
-  `${job.spec.id}/${occurrence}`
+/** Cached `occurrenceKey`s; each plan and each report needs them for many steps. */
+const occurrenceKeys = new WeakMap<workflowState.StepView, string>()
+
+const occurrenceKey = (step: workflowState.StepView): string => {
+  const known = occurrenceKeys.get(step)
+  if (known !== undefined) return known
+  const key = `${step.job.spec.id}/${step.occurrence}`
+  occurrenceKeys.set(step, key)
+  return key
+}
 
 const stepsOf = ({ job, occurrence }: workflowState.StepView): readonly workflowState.StepView[] =>
   job.occurrences.get(occurrence)?.steps ?? []
@@ -46,9 +54,16 @@
   let ranks: ReadonlyMap<string, number> = new Map()
   /** Occurrences for which the supply sufficed in the newest ranking. */
   let chosen: ReadonlySet<string> = new Set()
+  const supplies = new Map<string, scheduling.BestEffortSupply>()
   let rankedMs = Number.NEGATIVE_INFINITY
   let pauseMs = 0
 
+  const supplyOf = (service: string): scheduling.BestEffortSupply => {
+    const known = supplies.get(service) ?? scheduling.createBestEffortSupply()
+    supplies.set(service, known)
+    return known
+  }
+
   /** Remaining share of a task's work, from 0 to 1. */
   const remainingShare = (step: workflowState.StepView, task: workflowState.TaskView): number => {
     if (task.phase === 'completed') return 0
@@ -97,7 +112,8 @@
       byService.set(service, known.set(occurrenceKey(step), step))
     }
     for (const step of view.readySteps) add(step)
-    for (const { runs } of view.loads.values()) for (const { step } of runs.values()) add(step)
+    for (const { runsOfStep } of view.loads.values())
+      for (const step of runsOfStep.keys()) add(step)
     return byService
   }
 
@@ -107,7 +123,8 @@
     const next = new Map<string, number>()
     const nextChosen = new Set<string>()
     const workers = options.eligibleWorkers()
-    for (const [service, steps] of competingSteps()) {
+    const competing = competingSteps()
+    for (const [service, steps] of competing) {
       const input = {
         view,
         disturbance: options.disturbance,
@@ -115,15 +132,13 @@
         fillerRank: () => 0,
       }
       const samples = new Map([...steps.values()].map((step) => [step.spec.image, step]))
-      const supply = scheduling.bestEffortSupply(
-        input,
-        [...samples.values()].slice(0, MAX_SUPPLY_IMAGES),
-      )
+      const supply = supplyOf(service)(input, [...samples.values()].slice(0, MAX_SUPPLY_IMAGES))
       const jobs = [...steps.values()].map(jobOf)
       const order = scheduling.rankBestEffortJobs(jobs, supply, chosen)
       for (const [key, position] of order.ranks) next.set(key, position)
       for (const key of order.chosen) nextChosen.add(key)
     }
+    for (const service of supplies.keys()) if (!competing.has(service)) supplies.delete(service)
     ranks = next
     chosen = nextChosen
     rankedMs = nowMs()
--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -234,9 +234,9 @@
     const cell = createCell([worker('v'), worker('u')])
     cell.submit('fill', [step({ taskCount: 4, filling: true, image: 'f' })])
     const steps = [...cell.state.view.readySteps]
-    expect(scheduling.bestEffortSupply(cell.input(), steps)).toBe(32)
+    expect(scheduling.createBestEffortSupply()(cell.input(), steps)).toBe(32)
     observeTail(cell, 20)
-    expect(scheduling.bestEffortSupply(cell.input(), steps)).toBeLessThan(20)
+    expect(scheduling.createBestEffortSupply()(cell.input(), steps)).toBeLessThan(20)
   })
 })
 
@@ -270,7 +270,7 @@
   it('guards against best-effort tasks that wait beside CPU that is reserved but unused', () => {
     const cell = createReservedCell(15)
     const steps = [...cell.state.view.readySteps]
-    expect(scheduling.bestEffortSupply(cell.input(), steps)).toBeGreaterThan(1)
+    expect(scheduling.createBestEffortSupply()(cell.input(), steps)).toBeGreaterThan(1)
     expect(cell.plan().length).toBeGreaterThan(0)
   })
 
@@ -283,11 +283,58 @@
   })
 })
 
+describe('work of a plan on a large fleet', () => {
+  const TASKS = 40
+  const MAX_SHARE_OF_PAIRS = 0.1
+
+  it.each([
+    { name: 'tasks that reserve CPU', fields: {} },
+    { name: 'best-effort tasks', fields: { filling: true, image: 'f' } },
+    { name: 'best-effort tasks of which each failed on some worker', fields: { filling: true } },
+  ])('guards against a look at every worker for every task: $name', ({ fields }) => {
+    const workers = Array.from({ length: 200 }, (_, index) => worker(`w${index}`))
+    const cell = createCell(workers)
+    cell.submit('wide', [step({ taskCount: TASKS, ...fields })])
+    const avoids: scheduling.PlacementInput['avoids'] = ({ index }, id) => id === `w${index}`
+    const plan = scheduling.planAssignments({ ...cell.input(), avoids })
+    expect(plan.assignments).toHaveLength(TASKS)
+    expect(plan.workersLookedAt).toBeLessThan(TASKS * workers.length * MAX_SHARE_OF_PAIRS)
+    const failedAgain = plan.assignments.filter(
+      ({ task, worker: to }) => task !== undefined && avoids(task, to?.id ?? ''),
+    )
+    expect(failedAgain).toEqual([])
+  })
+
+  it('guards against a task that waits because it failed on the only worker', () => {
+    const cell = createCell([worker('v')])
+    cell.submit('again', [step({ taskCount: 2 })])
+    expect(cell.plan({ avoids: () => true })).toEqual(['again.0.0 v', 'again.0.1 v'])
+  })
+
+  it('guards against a supply that is computed for every worker at every ranking', () => {
+    const WORKERS = 40
+    const workers = Array.from({ length: WORKERS }, (_, index) => worker(`w${index}`))
+    const cell = createCell(workers)
+    cell.submit('fill', [step({ taskCount: 4, filling: true, image: 'f' })])
+    const toleratedCount = vitest.vi.fn(cell.disturbance.toleratedCount)
+    const input = { ...cell.input(), disturbance: { ...cell.disturbance, toleratedCount } }
+    const steps = [...cell.state.view.readySteps]
+    const supply = scheduling.createBestEffortSupply()
+    expect(supply(input, steps)).toBe(16 * WORKERS)
+    expect(toleratedCount).toHaveBeenCalledTimes(WORKERS)
+    toleratedCount.mockImplementation(() => 1)
+    const later = Array.from({ length: 4 }, () => supply(input, steps))
+    expect(toleratedCount).toHaveBeenCalledTimes(2 * WORKERS)
+    expect(later).toEqual([490, 340, 190, 40])
+    expect(supply({ ...input, workers: input.workers.slice(0, 3) }, steps)).toBe(3)
+  })
+})
+
 describe('search without a suitable worker', () => {
   const WORKERS = 10
   const WAITING_JOBS = 40
 
-  /** Workers that tolerate no best-effort task, waiting jobs, and a spy on the queries of tolerated counts. */
+  /** Workers that tolerate no best-effort task, waiting jobs, and a spy on the queries of the counts used for placement. */
   const createFullCell = () => {
     const names = Array.from({ length: WORKERS }, (_, index) => `w${index}`)
     const cell = createCell(names.map((name) => worker(name)))
@@ -298,9 +345,9 @@
     for (let job = 0; job < WAITING_JOBS; job += 1) {
       cell.submit(`job${job}`, [step({ taskCount: 3, filling: true, image: 'f' })])
     }
-    const toleratedCount = vitest.vi.fn(cell.disturbance.toleratedCount)
-    const input = { ...cell.input(), disturbance: { ...cell.disturbance, toleratedCount } }
-    return { input, toleratedCount, steps: [...cell.state.view.readySteps] }
+    const safeToleratedCount = vitest.vi.fn(cell.disturbance.safeToleratedCount)
+    const input = { ...cell.input(), disturbance: { ...cell.disturbance, safeToleratedCount } }
+    return { input, safeToleratedCount, steps: [...cell.state.view.readySteps] }
   }
 
   it.each<{ name: string; search: (cell: ReturnType<typeof createFullCell>) => void }>([
@@ -320,6 +367,7 @@
   ])('$name', ({ search }) => {
     const cell = createFullCell()
     search(cell)
-    expect(cell.toleratedCount.mock.calls.length).toBeLessThanOrEqual(WORKERS)
+    expect(cell.safeToleratedCount).toHaveBeenCalled()
+    expect(cell.safeToleratedCount.mock.calls.length).toBeLessThanOrEqual(WORKERS)
   })
 })
