perf(workflow-control): check the runs of a worker once for each of its lists

Change: sessions are indexed by worker; a worker's runs are checked once for each list or each 400 ms; loads of older incarnations are found in one pass; run keys are computed once for each listed run.

--- a/packages/workflow-control/__tests__/bestEffortAccounting.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortAccounting.spec.ts
@@ -54,7 +54,7 @@
     if (step === undefined || task === undefined) throw new Error('no task')
     nowMs += LIST_MS
     const listed = protocol.workflow.RunningTask.fromPartial({ run: RUN, ...fields })
-    accounting.recordRunning({ step, task }, listed)
+    accounting.recordRunning({ step, task }, listed, workflowState.runKey(RUN))
   }
   const sweepAfter = (ms: number): void => {
     nowMs += ms
--- a/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
@@ -72,7 +72,7 @@
     const task = step.tasks[index]
     if (task === undefined) throw new Error('no task')
     const listed = protocol.workflow.RunningTask.fromPartial({ run, progressPercent })
-    progress.update({ step, task }, listed, run, nowMs)
+    progress.update({ step, task }, listed, workflowState.runKey(run), nowMs)
     progress.remove(run, true)
   }
   return {
--- a/packages/workflow-control/src/bestEffortAccounting.ts
+++ b/packages/workflow-control/src/bestEffortAccounting.ts
@@ -1,5 +1,6 @@
 /** Accounts for how the tasks of each best-effort (`filling`) job spend their time, and logs it when the job ends. */
 import * as protocol from '@ebonyweir/protocol'
+import * as scheduling from '@ebonyweir/workflow-scheduling'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as workStatistics from './workStatistics.js'
@@ -20,6 +21,8 @@
   readonly recordRunning: (
     active: workflowState.ActiveRun,
     task: protocol.workflow.RunningTask,
+    /** `runKey` of the run. */
+    key: string,
   ) => void
   /** Accounts for the end of a run; work that no checkpoint covers is lost unless the run completed. */
   readonly recordEnd: (end: protocol.workflow.RunEnd) => void
@@ -97,15 +100,6 @@
     run.uncoveredMs += elapsedMs * pace * usedShare
   }
 
-  const runKeyOf = ({ step, task }: workflowState.ActiveRun): string =>
-    workflowState.runKey({
-      job: step.job.spec.id,
-      occurrence: step.occurrence,
-      step: step.index,
-      index: task.index,
-      run: task.run,
-    })
-
   const logEnded = (): void => {
     for (const [id, { spentMs, ...counts }] of jobs) {
       const job = view.jobs.get(id)
@@ -123,10 +117,9 @@
   }
 
   return {
-    recordRunning: (active, task) => {
+    recordRunning: (active, task, key) => {
       const { spec, job } = active.step
       if (!spec.filling) return
-      const key = runKeyOf(active)
       const now = nowMs()
       const times = timesOf(job.spec.id)
       const known = runs.get(key)
@@ -164,7 +157,7 @@
       }
       for (const load of view.loads.values()) {
         for (const active of load.runs.values()) {
-          if (!active.step.spec.filling || runs.has(runKeyOf(active))) continue
+          if (!active.step.spec.filling || runs.has(scheduling.activeRunKey(active))) continue
           add(timesOf(active.step.job.spec.id), 'starting', elapsedMs)
         }
       }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -34,6 +34,20 @@
  */
 const MAX_SWEEP_GAP_MS = 1_000
 
+/** Time after which a worker's runs are checked without a new list, in milliseconds: the interval of the lists. */
+const MAX_CHECK_AGE_MS = 400
+
+/** Interval at which the time of best-effort tasks that no list contains is added up, in milliseconds. */
+const ACCOUNTING_INTERVAL_MS = 400
+
+interface RunCheck {
+  readonly atMs: number
+  /** Arrival time of the list that was checked. */
+  readonly listedMs: number | undefined
+}
+
+const NEVER_CHECKED: RunCheck = { atMs: Number.NEGATIVE_INFINITY, listedMs: undefined }
+
 const FULL_PERCENT = 100
 
 /** Share of the tolerable pace at which a best-effort run starts: its neighbours' load may rise before the next list. */
@@ -78,13 +92,18 @@
   /** Time since which this term has received reports without a gap. */
   let listeningSinceMs = nowMs()
   let sweptMs = listeningSinceMs
+  let accountedMs = listeningSinceMs
   const byAgent = new Map<string, sessions.WorkerSession>()
+  /** Sessions of `byAgent` by the key of the worker that they report. */
+  const byWorker = new Map<string, sessions.WorkerSession>()
   /** Arrival time of the newest run list of each worker incarnation. */
   const listedMs = new Map<string, number>()
   const checkpoints = new Map<string, string>()
   const startedJobs = new Set<string>()
   const failedWorkers = new Map<string, Set<string>>()
   const pendingLostWorkers = new Set<string>()
+  /** Latest check for runs to stop of each session. */
+  const checked = new WeakMap<sessions.WorkerSession, RunCheck>()
   const stalledRuns = new Set<string>()
   const health = scheduling.createHealth()
   const durations = policies.createDurations()
@@ -260,10 +279,25 @@
     }
   }
 
+  /** The same for all sessions, in one pass over the loads. */
+  const stopRunsOfOldIncarnations = (): void => {
+    const byWorkerId = new Map<string, sessions.WorkerSession[]>()
+    for (const session of byAgent.values()) {
+      const id = session.identity?.id
+      if (id !== undefined) byWorkerId.set(id, [...(byWorkerId.get(id) ?? []), session])
+    }
+    for (const { identity: held, runs } of view.loads.values()) {
+      for (const session of byWorkerId.get(held.id) ?? []) {
+        const bornMs = session.identity?.bornMs ?? held.bornMs
+        if (held.bornMs < bornMs) session.stop([...runs.values()].map(runOf))
+      }
+    }
+  }
+
   const handleRunning = (session: sessions.WorkerSession): void => {
     const unknown: TaskRun[] = []
     const now = nowMs()
-    for (const task of session.running.values()) {
+    for (const [key, task] of session.running) {
       if (task.run === undefined) continue
       const active = activeRun(task.run)
       if (active === undefined || !isHeldBy(active, session.key)) {
@@ -274,8 +308,8 @@
       if (task.checkpoint !== '') {
         checkpoints.set(workflowState.taskKey(task.run), task.checkpoint)
       }
-      progress.update(active, task, task.run, now)
-      accounting.recordRunning(active, task)
+      progress.update(active, task, key, now)
+      accounting.recordRunning(active, task, key)
     }
     if (unknown.length === 0) return
     logger.info('worker reports runs that are not assigned to it', {
@@ -357,9 +391,21 @@
     if (ends.length > 0) void recordEnds(identity, ends)
   }
 
+  const removeFromIndex = (session: sessions.WorkerSession, key: string): void => {
+    if (byWorker.get(key) === session) byWorker.delete(key)
+  }
+
+  /** Updates the index after the worker of a session changed; a session that was replaced stays out of it. */
+  const indexByWorker = (session: sessions.WorkerSession, keyBefore: string): void => {
+    removeFromIndex(session, keyBefore)
+    if (byAgent.get(session.agent) === session) byWorker.set(session.key, session)
+  }
+
   const processReport: LeaderTerm['handleReport'] = (session, report) => {
     const before = session.identity
+    const keyBefore = session.key
     const listed = session.update(report)
+    if (session.key !== keyBefore) indexByWorker(session, keyBefore)
     const { identity } = session
     if (identity === undefined) return
     const isNew =
@@ -371,8 +417,10 @@
     }
     handleEnds(session, report)
     handleRejections(session, report)
-    handleRunning(session)
-    if (listed !== 'same') pacing.pace(session)
+    if (listed !== 'same') {
+      handleRunning(session)
+      pacing.pace(session)
+    }
     if (listed === 'first') {
       logger.info('worker attached', {
         agent: session.agent,
@@ -392,10 +440,7 @@
     })
   }
 
-  const sessionOf = (key: string): sessions.WorkerSession | undefined => {
-    for (const session of byAgent.values()) if (session.key === key) return session
-    return undefined
-  }
+  const sessionOf = (key: string): sessions.WorkerSession | undefined => byWorker.get(key)
 
   /** Whether a run on a draining worker should move now. */
   const shouldLeaveDraining = (
@@ -421,6 +466,14 @@
     return true
   }
 
+  /** Whether the runs of a worker are to be checked: once for each of its lists, and from time to time without one. */
+  const isCheckDue = (session: sessions.WorkerSession, now: number): boolean => {
+    const { atMs, listedMs: checkedListMs } = checked.get(session) ?? NEVER_CHECKED
+    if (session.listedMs === checkedListMs && now - atMs < MAX_CHECK_AGE_MS) return false
+    checked.set(session, { atMs: now, listedMs: session.listedMs })
+    return true
+  }
+
   const sweepStops = (
     session: sessions.WorkerSession,
     load: workflowState.WorkerLoad,
@@ -453,8 +506,11 @@
     endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
     waitMonitor.sweep()
-    accounting.sweep()
     const now = nowMs()
+    if (now - accountedMs >= ACCOUNTING_INTERVAL_MS) {
+      accountedMs = now
+      accounting.sweep()
+    }
     if (now - sweptMs > MAX_SWEEP_GAP_MS) listeningSinceMs = now
     sweptMs = now
     const workers = eligibleWorkers()
@@ -474,10 +530,10 @@
       }
       const session = sessionOf(key)
       if (session === undefined) continue
-      sweepStops(session, load, workerSearch)
+      if (isCheckDue(session, now)) sweepStops(session, load, workerSearch)
       withdrawEvacuated(session, load)
     }
-    for (const session of byAgent.values()) stopRunsOfOldIncarnation(session)
+    stopRunsOfOldIncarnations()
     rounds.dispatch()
   }
 
@@ -554,7 +610,9 @@
   return {
     term,
     attach: (agent, stream) => {
-      byAgent.get(agent)?.end()
+      const replaced = byAgent.get(agent)
+      replaced?.end()
+      if (replaced !== undefined) removeFromIndex(replaced, replaced.key)
       const session = sessions.createWorkerSession({
         agent,
         stream,
@@ -568,6 +626,7 @@
     detach: (session) => {
       if (byAgent.get(session.agent) !== session) return
       byAgent.delete(session.agent)
+      removeFromIndex(session, session.key)
       logger.warn('worker detached', { agent: session.agent, worker: session.identity?.id })
     },
     handleReport,
@@ -579,6 +638,7 @@
       cancelSweeps()
       for (const session of byAgent.values()) session.end()
       byAgent.clear()
+      byWorker.clear()
     },
   }
 }
--- a/packages/workflow-control/src/runProgress.ts
+++ b/packages/workflow-control/src/runProgress.ts
@@ -13,7 +13,8 @@
   readonly update: (
     active: workflowState.ActiveRun,
     task: protocol.workflow.RunningTask,
-    run: TaskRun,
+    /** `runKey` of the run. */
+    key: string,
     nowMs: number,
   ) => void
   readonly get: (run: TaskRun) => scheduling.Progress | undefined
@@ -36,8 +37,7 @@
   }
 
   return {
-    update: ({ step }, { progressPercent, pacePercent }, run, nowMs) => {
-      const key = workflowState.runKey(run)
+    update: ({ step }, { progressPercent, pacePercent }, key, nowMs) => {
       const before = progress.get(key)
       const next = scheduling.nextProgress(before, progressPercent, pacePercent, nowMs)
       progress.set(key, next)
@@ -46,10 +46,11 @@
       durations.observeProgress(step, worked.workedMs, worked.part)
     },
     get: (run) => progress.get(workflowState.runKey(run)),
-    percentOf: (run) =>
-      progress.get(workflowState.runKey(run))?.percent ??
-      saved.get(workflowState.taskKey(run)) ??
-      0,
+    percentOf: (run) => {
+      // A task without a run has at most a checkpoint.
+      const running = run.run === 0 ? undefined : progress.get(workflowState.runKey(run))
+      return running?.percent ?? saved.get(workflowState.taskKey(run)) ?? 0
+    },
     remove: (run, hasCheckpoint) => {
       const key = workflowState.runKey(run)
       const last = progress.get(key)
