fix(workflow-scheduling): rank best-effort jobs by expected value per remaining work

Change: one order by expected value per remaining work, where a late job counts with 15 %; selected jobs that are in time stay while they fit into 0.9 of the supply, new ones have to fit into 0.6. Result: 2 tests that failed before.

--- a/packages/workflow-scheduling/__tests__/bestEffortRanking.spec.ts
+++ b/packages/workflow-scheduling/__tests__/bestEffortRanking.spec.ts
@@ -74,6 +74,16 @@
       supply: 6,
       expected: ['short', 'long', 'worthless'],
     },
+    {
+      name: 'ranks a late job that is nearly done before one in time that has hardly begun',
+      jobs: [
+        job('fresh'),
+        job('nearly done', { remainingMs: 500, chainMs: 500, untilDueMs: -4_000 }),
+        job('late', { untilDueMs: -4_000, untilExpiryMs: 20_000 }),
+      ],
+      supply: 20,
+      expected: ['nearly done', 'fresh', 'late'],
+    },
     {
       name: 'returns an order without supply',
       jobs: [job('a')],
@@ -130,6 +140,12 @@
       alreadySelected: ['begun'],
       chosen: ['begun'],
     },
+    {
+      name: 'keeps a selected job while the estimate of the supply fluctuates',
+      jobs: [job('begun', { remainingMs: 30_000 }), job('other', { remainingMs: 40_000 })],
+      alreadySelected: ['begun', 'other'],
+      chosen: ['begun', 'other'],
+    },
     {
       name: 'deselects a job that is certainly late',
       jobs: [job('begun', { chainMs: 20_000 }), job('fresh')],
--- a/packages/workflow-scheduling/src/bestEffortRanking.ts
+++ b/packages/workflow-scheduling/src/bestEffortRanking.ts
@@ -31,6 +31,15 @@
 /** Lower bound of the supply that a plan uses, in tasks at full speed; the estimated supply can be 0. */
 const MIN_SUPPLY = 0.5
 
+/**
+ * Share of the supply up to which jobs that are already selected and not late stay selected. The estimate of the supply fluctuates, and
+ * a job that is dropped halfway has used supply in vain.
+ */
+const KEPT_SUPPLY_SHARE = 0.9
+
+/** Part of its value that a job still earns between its objective and its expiry. */
+const LATE_VALUE_SHARE = 0.15
+
 /**
  * Preference for jobs that are already selected. A job that is suspended halfway is as late as one that never started,
  * and expected durations change by a factor of two or more while a job runs.
@@ -65,45 +74,62 @@
 const isWithinGrace = ({ chainMs, untilDueMs, untilExpiryMs }: BestEffortJob): boolean =>
   chainMs <= untilDueMs + GRACE_SHARE * (untilExpiryMs - untilDueMs)
 
-/** Jobs of `candidates`, in their order, whose tasks can all run concurrently with those of `chosen`. */
+/**
+ * Jobs of `candidates`, in their order, whose tasks can all run concurrently. Jobs that are already selected may use more of
+ * the supply than new ones.
+ */
 const selectWithinSupply = (
   candidates: readonly BestEffortJob[],
   supply: number,
-  chosen: readonly BestEffortJob[] = [],
+  alreadySelected: ReadonlySet<string>,
 ): readonly BestEffortJob[] => {
-  const planned = Math.max(MIN_SUPPLY, supply * PLANNED_SUPPLY_SHARE)
-  let parallelism = chosen.reduce((sum, job) => sum + parallelismOf(job), 0)
-  const added: BestEffortJob[] = []
+  const selected: BestEffortJob[] = []
+  let parallelism = 0
   for (const job of candidates) {
-    const isFirst = chosen.length + added.length === 0
-    if (!isFirst && parallelism + parallelismOf(job) > planned) continue
+    const isKept = alreadySelected.has(job.key) && isWithinGrace(job)
+    const share = isKept ? KEPT_SUPPLY_SHARE : PLANNED_SUPPLY_SHARE
+    const planned = Math.max(MIN_SUPPLY, supply * share)
+    if (selected.length > 0 && parallelism + parallelismOf(job) > planned) continue
     parallelism += parallelismOf(job)
-    added.push(job)
+    selected.push(job)
   }
-  return added
+  return selected
 }
 
-/**
- * Jobs that end in time when all of them run at full speed concurrently, by value per remaining work, with a preference
- * for those `alreadySelected`. `supply` is the number of tasks that could run at full speed.
- */
-export const chooseJobsInTime = (
+/** Part of its value that a job is expected to earn. */
+const expectedShare = (job: BestEffortJob, isSelected: boolean): number => {
+  if (isSelected ? isWithinGrace(job) : canBeInTime(job)) return 1
+  return isExpired(job) ? 0 : LATE_VALUE_SHARE
+}
+
+/** Jobs that still earn something, by expected value per remaining work, with a preference for those already selected. */
+const byEarnings = (
   jobs: readonly BestEffortJob[],
-  supply: number,
-  alreadySelected: ReadonlySet<string> = new Set(),
+  alreadySelected: ReadonlySet<string>,
 ): readonly BestEffortJob[] => {
   const valueOf = valuesOf(jobs)
   const densities = new Map<BestEffortJob, number>()
   for (const job of jobs) {
     const isSelected = alreadySelected.has(job.key)
-    if (!(isSelected ? isWithinGrace(job) : canBeInTime(job))) continue
-    const factor = isSelected ? SELECTED_FACTOR : 1
-    densities.set(job, (factor * valueOf(job)) / Math.max(1, job.remainingMs))
+    const factor = (isSelected ? SELECTED_FACTOR : 1) * expectedShare(job, isSelected)
+    if (factor > 0) densities.set(job, (factor * valueOf(job)) / Math.max(1, job.remainingMs))
   }
-  const candidates = [...densities.keys()].sort(
+  return [...densities.keys()].sort(
     (a, b) => (densities.get(b) ?? 0) - (densities.get(a) ?? 0) || byDue(a, b),
   )
-  return selectWithinSupply(candidates, supply)
+}
+
+/**
+ * Jobs that end in time when all of them run at full speed concurrently. `supply` is the number of tasks that could run at
+ * full speed, `alreadySelected` are the jobs of the previous selection.
+ */
+export const chooseJobsInTime = (
+  jobs: readonly BestEffortJob[],
+  supply: number,
+  alreadySelected: ReadonlySet<string> = new Set(),
+): readonly BestEffortJob[] => {
+  const inTime = jobs.filter((job) => expectedShare(job, alreadySelected.has(job.key)) === 1)
+  return selectWithinSupply(byEarnings(inTime, alreadySelected), supply, alreadySelected)
 }
 
 /** Order of the competing jobs. */
@@ -115,25 +141,26 @@
 }
 
 /**
- * Ranks the jobs that can be in time first, then late jobs by remaining work, then expired ones. Late jobs get the
- * supply that is left. `alreadySelected` are the jobs of the previous selection.
+ * Ranks jobs by expected value per remaining work, those for which there is supply first and expired ones last. A late job
+ * that is nearly done thus goes before one in time that has hardly begun. `alreadySelected` are the jobs of the previous
+ * selection.
  */
 export const rankBestEffortJobs = (
   jobs: readonly BestEffortJob[],
   supply: number,
   alreadySelected: ReadonlySet<string> = new Set(),
 ): BestEffortOrder => {
-  const inTime = chooseJobsInTime(jobs, supply, alreadySelected)
-  const isInTime = new Set(inTime)
-  const others = jobs.filter((job) => !isInTime.has(job)).sort(byRemaining)
+  const candidates = byEarnings(jobs, alreadySelected)
+  const selected = selectWithinSupply(candidates, supply, alreadySelected)
+  const chosen = new Set(selected)
+  const isCandidate = new Set(candidates)
   const ranked = [
-    ...inTime,
-    ...others.filter((job) => !isExpired(job)),
-    ...others.filter(isExpired),
+    ...selected,
+    ...candidates.filter((job) => !chosen.has(job)),
+    ...jobs.filter((job) => !isCandidate.has(job)).sort(byRemaining),
   ]
-  const late = selectWithinSupply(ranked.slice(inTime.length), supply, inTime)
   return {
     ranks: new Map(ranked.map(({ key }, index) => [key, index])),
-    chosen: new Set([...inTime, ...late].map(({ key }) => key)),
+    chosen: new Set(selected.map(({ key }) => key)),
   }
 }
