fix(workflow-control): move slow best-effort tasks by rank and by size of fleet

Cause: one move each 150 ms for the whole fleet, given to the first slow run in the order of the workers. At 160 workers the last tasks of a step waited for their turn behind tasks of jobs without supply. Several moves could also aim at the same free CPU, since the search reserved nothing.

--- a/packages/experiment/src/fillers/variants.ts
+++ b/packages/experiment/src/fillers/variants.ts
@@ -34,7 +34,7 @@
   ...policies,
   createBestEffortPacing: (options) => ({
     ...policies.createBestEffortPacing(options),
-    shouldMove: () => false,
+    chooseMoves: () => [],
   }),
 })
 
@@ -42,21 +42,20 @@
 const movesByGroup = (policies: TermPolicies): TermPolicies => ({
   ...policies,
   createBestEffortPacing: (options) => {
+    const pacing = policies.createBestEffortPacing(options)
     const groups = new Map<number, workflowControl.BestEffortPacing>()
-    const groupOf = (name: string): workflowControl.BestEffortPacing => {
-      const number = Math.floor(Number(name.replace(/\D/g, '')) / MOVE_GROUP_SIZE)
-      const known = groups.get(number) ?? policies.createBestEffortPacing(options)
-      groups.set(number, known)
-      return known
-    }
+    const groupOf = ({ active }: workflowControl.MoveCandidate): number =>
+      Math.floor(Number(active.task.worker?.agent.replace(/\D/g, '') ?? 0) / MOVE_GROUP_SIZE)
     return {
-      pace: (session) => {
-        groupOf(session.agent).pace(session)
-      },
-      shouldMove: (active, run, places) =>
-        groupOf(active.task.worker?.agent ?? '').shouldMove(active, run, places),
-      forget: (key) => {
-        for (const group of groups.values()) group.forget(key)
+      ...pacing,
+      chooseMoves: (movable, _, workerSearch) => {
+        const numbers = [...new Set(movable.map(groupOf))]
+        return numbers.flatMap((number) => {
+          const group = groups.get(number) ?? policies.createBestEffortPacing(options)
+          groups.set(number, group)
+          const inGroup = movable.filter((candidate) => groupOf(candidate) === number)
+          return group.chooseMoves(inGroup, MOVE_GROUP_SIZE, workerSearch)
+        })
       },
     }
   },
--- a/packages/workflow-control/src/bestEffortPacing.ts
+++ b/packages/workflow-control/src/bestEffortPacing.ts
@@ -11,10 +11,15 @@
 const SLOW_PACE_PERCENT = 20
 
 /** Time for which a run must have been slow before it may move, in milliseconds: the load of its neighbours may fall. */
-const MIN_SLOW_TIME_BEFORE_MOVE_MS = 1_200
+const MIN_SLOW_TIME_BEFORE_MOVE_MS = 600
 
-/** Minimum time between two moves, in milliseconds, so that the figures reflect the previous move. */
-const MOVE_INTERVAL_MS = 150
+/** Moves per second and worker, so that the figures reflect earlier moves; a fleet of 11 workers then moves 6.6 a second. */
+const MOVES_PER_WORKER_S = 0.6
+
+/** Time over which unused moves add up, in milliseconds: the interval of the workers' run lists. */
+const MOVE_BURST_MS = 400
+
+const SECOND_MS = 1_000
 
 /** Progress below which a run without checkpoints may move, in percent: it loses little work. */
 const MAX_LOST_PROGRESS_PERCENT = 20
@@ -33,16 +38,26 @@
 export interface BestEffortPacing {
   /** Updates the interference model from a worker's newest run list and orders new paces. */
   readonly pace: (session: sessions.WorkerSession) => void
-  /** Whether a slow run should move because a better worker is available; at most one move per interval. */
-  readonly shouldMove: (
-    active: workflowState.ActiveRun,
-    run: protocol.workflow.TaskRun,
+  /** Whether a run has been slow for long and loses little work by a move. */
+  readonly mayMove: (active: workflowState.ActiveRun, run: protocol.workflow.TaskRun) => boolean
+  /**
+   * Chooses the runs that move now, because better workers are available: those of the first-ranked jobs, within the moves
+   * that a fleet of `workerCount` workers may make.
+   */
+  readonly chooseMoves: <Candidate extends MoveCandidate>(
+    movable: readonly Candidate[],
+    workerCount: number,
     workerSearch: scheduling.BestEffortWorkerSearch,
-  ) => boolean
+  ) => readonly Candidate[]
   /** Forgets a run that ended. */
   readonly forget: (key: string) => void
 }
 
+/** Run that may move to another worker. */
+export interface MoveCandidate {
+  readonly active: workflowState.ActiveRun
+}
+
 interface BestEffortRun extends scheduling.BestEffortTask {
   readonly run: protocol.workflow.TaskRun
 }
@@ -57,7 +72,8 @@
   const { disturbance, activeRun, nowMs, rankOf } = options
   /** Time since which a run has been slow, by run key. */
   const slowSinceMs = new Map<string, number>()
-  let movedMs = 0
+  let availableMoves = 0
+  let chosenMs = nowMs()
 
   /** Latency-critical and best-effort runs of a worker with their figures. */
   const neighboursOf = (session: sessions.WorkerSession): Neighbours => {
@@ -95,16 +111,26 @@
       }
       session.pace(orders)
     },
-    shouldMove: (active, run, workerSearch) => {
-      const now = nowMs()
+    mayMove: (active, run) => {
       const since = slowSinceMs.get(workflowState.runKey(run))
-      if (since === undefined || now - since < MIN_SLOW_TIME_BEFORE_MOVE_MS) return false
-      if (now - movedMs < MOVE_INTERVAL_MS) return false
-      const losesLittle =
-        active.step.spec.checkpointing || options.percentOf(run) < MAX_LOST_PROGRESS_PERCENT
-      if (!losesLittle || !workerSearch.hasAcceptableWorker(active.step)) return false
-      movedMs = now
-      return true
+      if (since === undefined || nowMs() - since < MIN_SLOW_TIME_BEFORE_MOVE_MS) return false
+      return active.step.spec.checkpointing || options.percentOf(run) < MAX_LOST_PROGRESS_PERCENT
+    },
+    chooseMoves: (movable, workerCount, workerSearch) => {
+      const now = nowMs()
+      const movesPerMs = (MOVES_PER_WORKER_S * workerCount) / SECOND_MS
+      const maxMoves = Math.max(1, movesPerMs * MOVE_BURST_MS)
+      availableMoves = Math.min(maxMoves, availableMoves + movesPerMs * (now - chosenMs))
+      chosenMs = now
+      const chosen: (typeof movable)[number][] = []
+      const byRank = [...movable].sort((a, b) => rankOf(a.active.step) - rankOf(b.active.step))
+      for (const candidate of byRank) {
+        if (availableMoves < 1) break
+        if (!workerSearch.reserveAcceptableWorker(candidate.active.step)) continue
+        availableMoves -= 1
+        chosen.push(candidate)
+      }
+      return chosen
     },
     forget: (key) => {
       slowSinceMs.delete(key)
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -12,6 +12,7 @@
 import * as endMonitors from './endMonitor.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
 import * as bestEffortAccounting from './bestEffortAccounting.js'
+import type * as bestEffortPacing from './bestEffortPacing.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
 import * as runProgress from './runProgress.js'
@@ -46,6 +47,12 @@
   readonly listedMs: number | undefined
 }
 
+/** Best-effort run that may move from the worker of a session. */
+interface MovableRun extends bestEffortPacing.MoveCandidate {
+  readonly run: TaskRun
+  readonly session: sessions.WorkerSession
+}
+
 const NEVER_CHECKED: RunCheck = { atMs: Number.NEGATIVE_INFINITY, listedMs: undefined }
 
 const FULL_PERCENT = 100
@@ -474,20 +481,24 @@
     return true
   }
 
+  /** Stops runs that must not go on where they are, and returns those that may move to a better worker. */
   const sweepStops = (
     session: sessions.WorkerSession,
     load: workflowState.WorkerLoad,
-    workerSearch: scheduling.BestEffortWorkerSearch,
-  ): void => {
+  ): readonly MovableRun[] => {
     const stops: TaskRun[] = []
+    const movable: MovableRun[] = []
     for (const active of load.runs.values()) {
-      const obsolete = active.step.job.phase !== 'active'
-      const shouldMove =
-        shouldLeaveDraining(session, active) ||
-        pacing.shouldMove(active, runOf(active), workerSearch)
-      if (obsolete || shouldMove || isStalled(session, active)) stops.push(runOf(active))
+      const run = runOf(active)
+      const isObsolete = active.step.job.phase !== 'active'
+      if (isObsolete || shouldLeaveDraining(session, active) || isStalled(session, active)) {
+        stops.push(run)
+      } else if (active.step.spec.filling && pacing.mayMove(active, run)) {
+        movable.push({ active, run, session })
+      }
     }
     session.stop(stops)
+    return movable
   }
 
   /** Withdraws start orders in an evacuated failure domain whose runs were not confirmed as running. */
@@ -513,6 +524,7 @@
     }
     if (now - sweptMs > MAX_SWEEP_GAP_MS) listeningSinceMs = now
     sweptMs = now
+    const movable: MovableRun[] = []
     const workers = eligibleWorkers()
     const workerSearch = policies.createBestEffortWorkerSearch({
       view,
@@ -530,9 +542,12 @@
       }
       const session = sessionOf(key)
       if (session === undefined) continue
-      if (isCheckDue(session, now)) sweepStops(session, load, workerSearch)
+      if (isCheckDue(session, now)) movable.push(...sweepStops(session, load))
       withdrawEvacuated(session, load)
     }
+    for (const { session, run } of pacing.chooseMoves(movable, workers.length, workerSearch)) {
+      session.stop([run])
+    }
     stopRunsOfOldIncarnations()
     rounds.dispatch()
   }
--- a/packages/workflow-scheduling/__tests__/placement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/placement.spec.ts
@@ -186,9 +186,9 @@
     cell.submit('fill', [step({ taskCount: 6, filling: true, image: 'f' })])
     const [ready] = [...cell.state.view.readySteps]
     if (ready === undefined) throw new Error('no ready step')
-    expect(scheduling.createBestEffortWorkerSearch(cell.input()).hasAcceptableWorker(ready)).toBe(
-      false,
-    )
+    expect(
+      scheduling.createBestEffortWorkerSearch(cell.input()).reserveAcceptableWorker(ready),
+    ).toBe(false)
     expect(cell.plan({ waitedMs: () => waitedMs })).toHaveLength(planned)
   })
 
@@ -361,7 +361,7 @@
       name: 'guards against a sweep that queries every worker for every slow best-effort task',
       search: ({ input, steps }) => {
         const places = scheduling.createBestEffortWorkerSearch(input)
-        for (const slow of steps) expect(places.hasAcceptableWorker(slow)).toBe(false)
+        for (const slow of steps) expect(places.reserveAcceptableWorker(slow)).toBe(false)
       },
     },
   ])('$name', ({ search }) => {
--- a/packages/workflow-scheduling/src/bestEffortWorkerSearch.ts
+++ b/packages/workflow-scheduling/src/bestEffortWorkerSearch.ts
@@ -6,8 +6,11 @@
 
 /** Search for workers for best-effort tasks; valid as long as the view and the interference model do not change. */
 export interface BestEffortWorkerSearch {
-  /** Whether some worker runs a best-effort task of the step fast enough that it need not wait for a better one. */
-  readonly hasAcceptableWorker: (step: workflowState.StepView) => boolean
+  /**
+   * Reserves a worker that runs a best-effort task of the step fast enough that it need not wait for a better one; false if
+   * there is none. Later searches count the task as placed there.
+   */
+  readonly reserveAcceptableWorker: (step: workflowState.StepView) => boolean
 }
 
 export const createBestEffortWorkerSearch = (
@@ -16,18 +19,19 @@
   const failures = placementFailures.createPlacementFailures(input.mayDisturb)
   let known: readonly candidates.CandidateWorker[] | undefined
   return {
-    hasAcceptableWorker: (step) => {
+    reserveAcceptableWorker: (step) => {
       const rank = input.fillerRank(step)
       if (failures.covers(step, rank, workerCost.MIN_BEST_EFFORT_RATE)) return false
       known ??= candidates.createCandidates(input)
-      const rateOn = workerCost.createBestEffortRate(step, rank, input)
-      const isFound = known.some(
+      const { rateOn } = workerCost.createBestEffortRate(step, rank, input)
+      const found = known.find(
         (candidate) =>
           candidates.isEligible(candidate, step) &&
           rateOn(candidate, workerCost.MIN_BEST_EFFORT_RATE) > 0,
       )
-      if (!isFound) failures.record(step, rank, workerCost.MIN_BEST_EFFORT_RATE)
-      return isFound
+      if (found === undefined) failures.record(step, rank, workerCost.MIN_BEST_EFFORT_RATE)
+      else candidates.reserve(found, step, rank)
+      return found !== undefined
     },
   }
 }
@@ -37,7 +41,7 @@
   input: candidates.BestEffortInput,
   step: workflowState.StepView,
 ): number => {
-  const rateOn = workerCost.createBestEffortRate(step, input.fillerRank(step), input)
+  const { rateOn } = workerCost.createBestEffortRate(step, input.fillerRank(step), input)
   const suitable = candidates
     .createCandidates(input)
     .filter((candidate) => candidates.isEligible(candidate, step))
