--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -362,4 +362,17 @@
     leader.start({})
     await waitUntil(() => worker.startCalls() === 2)
   })
+
+  it('guards against an odd end number that would acknowledge ends that are yet to come', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    worker.endRun(1)
+    worker.endRun(2_000_000)
+    await waitUntil(() => leader.reports.some(({ ended }) => ended.length > 0))
+    worker.endRun(2)
+    await waitUntil(() => leader.reports.some(({ ended }) => ended.length > 1))
+    const numbers = new Set(
+      leader.reports.flatMap(({ ended }) => ended.map(({ number }) => number)),
+    )
+    expect([...numbers].sort()).toEqual([1, 2])
+  })
 })
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -32,6 +32,9 @@
  */
 const PACE_REPEAT_MS = 10_000
 
+/** Largest step from one end number to the next; a worker lists 500 ends at a time, numbered one after the other. */
+const MAX_END_NUMBER_GAP = 100_000
+
 /** Description that a worker announces. */
 export interface Announcement {
   readonly worker: Omit<protocol.workflow.WorkerDescription, 'identity'> & {
@@ -244,6 +247,32 @@
     report()
   }
 
+  /** Drops ends whose numbers are far above the others: acknowledging them would acknowledge ends that are yet to come. */
+  const plausibleEnds = (
+    current: WorkerIncarnation,
+    ended: readonly protocol.workflow.ListedEnd[],
+  ): readonly protocol.workflow.ListedEnd[] => {
+    const lowest = Math.min(...ended.map(({ number }) => number))
+    const from = Math.max(current.acknowledgedEnd, current.listedEnd, lowest)
+    const plausible = ended.filter(({ number }) => number <= from + MAX_END_NUMBER_GAP)
+    if (plausible.length < ended.length) {
+      const numbers = ended.map(({ number }) => number).filter((n) => n > from + MAX_END_NUMBER_GAP)
+      logger.warn('ends ignored: their numbers are too high', { numbers: numbers.slice(0, 5) })
+    }
+    return plausible
+  }
+
+  /** Handles a list; an error ends the handling of this list only. */
+  const followList = (current: WorkerIncarnation, list: runners.WorkerList): void => {
+    const ended = plausibleEnds(current, list.ended)
+    current.listedEnd = Math.max(0, ...ended.map(({ number }) => number))
+    try {
+      handleList(current, { ...list, ended })
+    } catch (error) {
+      logger.error('list of runs not handled', { detail: String(error) })
+    }
+  }
+
   const listLoop = async (current: WorkerIncarnation): Promise<void> => {
     while (!stopped && !current.ended && incarnation === current) {
       if (fence === undefined) {
@@ -262,8 +291,7 @@
       })
       if (incarnation !== current) return
       if (answer.kind === 'list') {
-        current.listedEnd = Math.max(0, ...answer.list.ended.map(({ number }) => number))
-        handleList(current, answer.list)
+        followList(current, answer.list)
         // The worker answers at once while it has unacknowledged ends, so the next call is delayed here.
         const isPending = current.listedEnd > current.acknowledgedEnd
         if (isPending && current.listWaiters.length === 0) {
