--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -2,6 +2,7 @@
 import * as timers from 'node:timers/promises'
 import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@ebonyweir/protocol'
+import * as telemetry from '@ebonyweir/telemetry/logger'
 import * as vitest from 'vitest'
 import type * as context from '../src/context.js'
 import * as grpcServer from '../src/grpcServer.js'
@@ -27,6 +28,9 @@
     })
   })
 
+/** Sequence of a report whose handling throws. */
+const FAILING_SEQUENCE = 666
+
 /** Server of a replica whose role and lease the test sets; sessions answer each report with its sequence. */
 const startServer = async () => {
   const grpcAddress = `127.0.0.1:${await freePort()}`
@@ -59,12 +63,13 @@
     },
     detach: () => undefined,
     handleReport: (session: unknown, { sequence }: protocol.workflow.WorkerReport) => {
+      if (sequence === FAILING_SEQUENCE) throw new Error('thrown by the test')
       handled.push(sequence)
       sent.get(session)?.send(orders(sequence))
     },
   } as unknown as leaderTerm.LeaderTerm
   const ctx = {
-    options: { cell: 'c', grpcAddress },
+    options: { cell: 'c', grpcAddress, logger: telemetry.createSilentLogger() },
     replica: { leadership: () => ({ ...replica, term: 1 }) },
     nowMs: () => performance.now(),
     work: workStatistics.createWorkStatistics(() => performance.now()),
@@ -155,6 +160,19 @@
     expect(agent.received).toEqual(received)
   })
 
+  it('guards against an error in one report that ends the process or other streams', async () => {
+    const { handled, attach } = await startServer()
+    const first = attach()
+    first.report(1)
+    await vitest.vi.waitUntil(() => first.received.length > 0)
+    first.report(FAILING_SEQUENCE)
+    await timers.setTimeout(SETTLE_MS)
+    const second = attach()
+    second.report(2)
+    await vitest.vi.waitUntil(() => second.received.length > 0)
+    expect(handled).toEqual([1, 2])
+  })
+
   it('guards against a report on a stream that a newer one of the agent has replaced', async () => {
     const { handled, attach } = await startServer()
     const older = attach()
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -84,7 +84,20 @@
     return ctx.nowMs() - waitSinceMs < LEASE_WAIT_MS
   }
 
+  /** Handles a report; an error in it ends this stream only, and the agent attaches again. */
   const handle = (report: protocol.workflow.WorkerReport): void => {
+    try {
+      handleReport(report)
+    } catch (error) {
+      ctx.options.logger.error('report not handled', {
+        agent: report.agent,
+        detail: error instanceof Error ? (error.stack ?? error.message) : String(error),
+      })
+      close()
+    }
+  }
+
+  const handleReport = (report: protocol.workflow.WorkerReport): void => {
     clearTimeout(leaseTimer)
     const term = parts.term()
     // The lease may be void for a moment; the agent repeats unanswered reports.
