fix(workflow-agent): an odd announcement neither gives up running work nor stops the agent

What happened: an announcement with a start time far in the future made the agent believe in a later incarnation. Its worker's lists came from an earlier one and were dropped for good, and real announcements too; the leader declared the runs of the real worker lost and ordered them stopped, while they still ran. Cause: the agent and the leader took an announcement as proof of an incarnation. Change: the leader declares earlier incarnations lost, and stops their runs, only once a list of the worker itself shows the later one; after three lists in a row of an earlier incarnation the agent follows the worker again and ignores the announcement that was wrong. Result: one test each at the leader and at the agent; both fail on the code before.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -198,7 +198,7 @@
     drainRemainingMs: 0,
   })
   await waitUntil(() => leader.reports.some(({ sample }) => sample > 1))
-  return { leader, worker }
+  return { agent, leader, worker }
 }
 
 describe('worker agent', () => {
@@ -375,4 +375,21 @@
     )
     expect([...numbers].sort()).toEqual([1, 2])
   })
+
+  it('guards against an odd announcement, after which the worker is not followed any more', async () => {
+    const { agent, leader, worker } = await createSubject([{ kind: 'started' }])
+    const description = protocol.workflow.WorkerDescription.fromPartial({ service: 'desk' })
+    const announce = (bornMs: number, sequence: number): void => {
+      const odd = { ...description, identity: { id: 'w', bornMs } }
+      agent.announce({ worker: odd, sequence, draining: false, drainRemainingMs: 0 })
+    }
+    announce(Number.MAX_SAFE_INTEGER, 1)
+    worker.endRun(1)
+    await waitUntil(() => leader.reports.some(({ ended }) => ended.length > 0))
+    announce(Number.MAX_SAFE_INTEGER, 2)
+    announce(1, 9)
+    worker.endRun(2)
+    await waitUntil(() => leader.reports.some(({ ended }) => ended.length > 1))
+    expect(leader.reports.at(-1)?.worker?.identity?.bornMs).toBe(1)
+  })
 })
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -32,6 +32,9 @@
  */
 const PACE_REPEAT_MS = 10_000
 
+/** Lists of an earlier incarnation in a row after which an announcement is not followed any more. */
+const MAX_EARLIER_LISTS = 3
+
 /** Largest step from one end number to the next; a worker lists 500 ends at a time, numbered one after the other. */
 const MAX_END_NUMBER_GAP = 100_000
 
@@ -90,6 +93,8 @@
   /** Whether the worker answered the latest list call as this incarnation. */
   isResponsive: boolean
   sample: number
+  /** Lists in a row that came from an earlier incarnation than this one. */
+  earlierLists: number
   alarm: scheduling.Alarm
   ended: boolean
   readonly listWaiters: ((list: runners.WorkerList | undefined) => void)[]
@@ -116,6 +121,8 @@
   const nowMs = options.nowMs ?? (() => performance.now())
   let incarnation: WorkerIncarnation | undefined
   let fence: number | undefined
+  /** Start time of the latest announced incarnation that the worker itself did not confirm. */
+  let disbelievedMs: number | undefined
   let reportSequence = 0
   let reportedMs = 0
   let stopped = true
@@ -232,12 +239,34 @@
     await Promise.all(bestEffortRuns.map((entry) => setPace(current, entry)))
   }
 
+  /**
+   * Handles a list of an earlier incarnation than the announced one. One such list may have been under way during a restart;
+   * several in a row show that the announcement came from another writer.
+   */
+  const handleEarlierIncarnation = (current: WorkerIncarnation, bornMs: number): void => {
+    current.earlierLists += 1
+    if (current.earlierLists < MAX_EARLIER_LISTS) return
+    const { id, bornMs: announcedMs } = current.announcement.worker.identity
+    logger.warn('announcement not followed: the worker started earlier', {
+      worker: id,
+      announcedMs,
+      bornMs,
+    })
+    disbelievedMs = announcedMs
+    replaceIncarnation(current, bornMs)
+  }
+
   const handleList = (current: WorkerIncarnation, list: runners.WorkerList): void => {
     const { identity } = current.announcement.worker
-    if (list.bornMs !== identity.bornMs) {
-      if (list.bornMs > identity.bornMs) replaceIncarnation(current, list.bornMs)
+    if (list.bornMs < identity.bornMs) {
+      handleEarlierIncarnation(current, list.bornMs)
+      return
+    }
+    if (list.bornMs > identity.bornMs) {
+      replaceIncarnation(current, list.bornMs)
       return
     }
+    current.earlierLists = 0
     current.list = list
     current.isResponsive = true
     current.sample += 1
@@ -355,6 +384,7 @@
       list: undefined,
       isResponsive: false,
       sample: 0,
+      earlierLists: 0,
       alarm: scheduling.NO_ALARM,
       ended: false,
       listWaiters: [],
@@ -379,6 +409,7 @@
 
   const announce: WorkerAgent['announce'] = (received) => {
     const identity = { ...received.worker.identity, agent: name }
+    if (identity.bornMs === disbelievedMs) return
     const announcement: OwnAnnouncement = { ...received, worker: { ...received.worker, identity } }
     const previous = incarnation?.announcement
     const isSame =
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -327,6 +327,20 @@
     expect(agent.starts().at(-1)).toBe('j.0.0.0#2')
   })
 
+  it('guards against runs given up because another writer announced a later incarnation', async () => {
+    const agent = harness.attach('w')
+    agent.report()
+    harness.submit('j', [{}])
+    await settle()
+    agent.report({ bornMs: Number.MAX_SAFE_INTEGER, unlisted: true })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'assigned', run: 1 })
+    expect(agent.stops()).toEqual([])
+    agent.report({ id: 'odd', bornMs: Number.MAX_SAFE_INTEGER, unlisted: true })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'assigned', run: 1 })
+  })
+
   it('guards against a second run of a task that a new incarnation with the same id completed', async () => {
     const agent = harness.attach('w')
     agent.report()
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -36,6 +36,8 @@
   readonly draining?: boolean
   /** Whether the report carries no new run list. */
   readonly stale?: boolean
+  /** Whether the worker has not listed its runs as this incarnation yet. */
+  readonly unlisted?: boolean
 }
 
 export const parseRun = (key: string): protocol.workflow.TaskRun => {
@@ -167,7 +169,7 @@
         draining: fields.draining ?? false,
         drainRemainingMs: 0,
         clockMs: Math.round(nowMs()),
-        sample,
+        sample: fields.unlisted === true ? 0 : sample,
         running: (fields.running ?? []).map((key) => ({
           run: parseRun(key),
           checkpoint: '',
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -290,7 +290,7 @@
   const stopRunsOfOldIncarnations = (): void => {
     const byWorkerId = new Map<string, sessions.WorkerSession[]>()
     for (const session of byAgent.values()) {
-      const id = session.identity?.id
+      const id = session.listedMs === undefined ? undefined : session.identity?.id
       if (id !== undefined) byWorkerId.set(id, [...(byWorkerId.get(id) ?? []), session])
     }
     for (const { identity: held, runs } of view.loads.values()) {
@@ -409,15 +409,13 @@
   }
 
   const processReport: LeaderTerm['handleReport'] = (session, report) => {
-    const before = session.identity
     const keyBefore = session.key
     const listed = session.update(report)
     if (session.key !== keyBefore) indexByWorker(session, keyBefore)
     const { identity } = session
     if (identity === undefined) return
-    const isNew =
-      before === undefined || workflowState.workerKey(before) !== workflowState.workerKey(identity)
-    if (isNew) handleIdentity(session)
+    // Only a list shows that the worker itself runs as this incarnation; an announcement may be from another writer.
+    if (listed === 'first') handleIdentity(session)
     session.answer(report)
     if (report.sample > 0 && session.listedMs !== undefined) {
       listedMs.set(session.key, session.listedMs)
