fix(workflow-control): read the time of day once for a ranking

Cause: each job of a ranking read the time itself, so of two equal jobs the later one seemed due first when a millisecond passed between the readings. Change: one reading for all jobs. Result: with a clock that moves at each reading the test fails on the code before and passes now.

--- a/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
@@ -35,11 +35,14 @@
   let nowMs = 0
   let rankings = 0
   let rankingMs = 0
+  let timeOfDayMs = submittedMs
   const ranks = bestEffortRanks.createBestEffortRanks({
     view: state.view,
     expected,
     disturbance: scheduling.createInterferenceModel(),
     nowMs: () => nowMs,
+    // Each reading is later than the one before, as on a busy machine.
+    timeOfDayMs: () => (timeOfDayMs += 1),
     percentOf: progress.percentOf,
     work: workStatistics.createWorkStatistics(() => nowMs),
     eligibleWorkers: () => {
--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -77,7 +77,8 @@
     return 1 - percentOf(run) / 100
   }
 
-  const jobOf = (first: workflowState.StepView): scheduling.BestEffortJob => {
+  /** State of a job at `atMs`, a time of day that is the same for all jobs of a ranking. */
+  const jobOf = (first: workflowState.StepView, atMs: number): scheduling.BestEffortJob => {
     const { job, occurrence } = first
     const steps = stepsOf(first)
     let totalMs = 0
@@ -91,7 +92,7 @@
     })
     const chains = scheduling.chainsToEnd(steps, ({ index }) => slowest[index] ?? 0)
     const objectiveMs = scheduling.objectiveMs(steps, job.queue, expected)
-    const ageMs = timeOfDayMs() - scheduling.dueMs(job, occurrence)
+    const ageMs = atMs - scheduling.dueMs(job, occurrence)
     return {
       key: occurrenceKey(first),
       totalMs,
@@ -120,6 +121,7 @@
   const rank = (): void => {
     options.work.count('rankings')
     const startedMs = nowMs()
+    const atMs = timeOfDayMs()
     const next = new Map<string, number>()
     const nextChosen = new Set<string>()
     const workers = options.eligibleWorkers()
@@ -133,7 +135,7 @@
       }
       const samples = new Map([...steps.values()].map((step) => [step.spec.image, step]))
       const supply = supplyOf(service)(input, [...samples.values()].slice(0, MAX_SUPPLY_IMAGES))
-      const jobs = [...steps.values()].map(jobOf)
+      const jobs = [...steps.values()].map((step) => jobOf(step, atMs))
       const order = scheduling.rankBestEffortJobs(jobs, supply, chosen)
       for (const [key, position] of order.ranks) next.set(key, position)
       for (const key of order.chosen) nextChosen.add(key)
