--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,9 +1,9 @@
 /** A frozen control machine carries out an old order to evacuate a zone after the evacuation was taken back. */
 import * as path from 'node:path'
 import * as url from 'node:url'
-import { runCase, require } from '../lib/case.mjs'
-import { sleep } from '../lib/http.mjs'
-import { jobId } from '../lib/system.mjs'
+import { runCase, require } from './lib/case.mjs'
+import { sleep } from './lib/http.mjs'
+import { jobId } from './lib/system.mjs'
 
 const FREEZE_MS = 4_000
 const EVACUATION_MS = 1_000
--- a/review/lib/system.mjs
+++ b/review/1/lib/system.mjs
@@ -10,7 +10,7 @@
 import * as calls from './http.mjs'
 import * as runners from './runner.mjs'
 
-export const ROOT = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../..')
+export const ROOT = path.join(path.dirname(url.fileURLToPath(import.meta.url)), '../../..')
 
 /** Bounds of the users' deployment `kerfourn-swap`. */
 const BOUNDS = { HoldMaxMs: 6_000, GraceS: 6, status_s: 120 }
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,9 +1,9 @@
 /** One runner fails one run of a gang; the job is shown as failed although the gang has one attempt left. */
 import * as path from 'node:path'
 import * as url from 'node:url'
-import { runCase, require } from '../lib/case.mjs'
-import { sleep } from '../lib/http.mjs'
-import { jobId } from '../lib/system.mjs'
+import { runCase, require } from './lib/case.mjs'
+import { sleep } from './lib/http.mjs'
+import { jobId } from './lib/system.mjs'
 
 const MAX_ATTEMPTS = 2
 const FAIL_AFTER_MS = 300
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,9 +1,9 @@
 /** A heartbeat of another writer, with a service that no configuration names, makes the agent give up its own runner. */
 import * as path from 'node:path'
 import * as url from 'node:url'
-import { runCase, require } from '../lib/case.mjs'
-import * as calls from '../lib/http.mjs'
-import { jobId } from '../lib/system.mjs'
+import { runCase, require } from './lib/case.mjs'
+import * as calls from './lib/http.mjs'
+import { jobId } from './lib/system.mjs'
 
 const WAIT_MS = 25_000
 
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,9 +1,9 @@
 /** After the agents in an evacuated zone were killed and started again, sound tasks that last are stopped. */
 import * as path from 'node:path'
 import * as url from 'node:url'
-import { runCase, require } from '../lib/case.mjs'
-import { sleep } from '../lib/http.mjs'
-import { jobId } from '../lib/system.mjs'
+import { runCase, require } from './lib/case.mjs'
+import { sleep } from './lib/http.mjs'
+import { jobId } from './lib/system.mjs'
 
 const COUNT = 3
 const MISS_ALLOWED = 1
