feat(workflow-control): log which run failed a job

Cause: the log showed the ends of runs but not how many attempts the leader had counted when it ended a job as failed, so a job that failed too early looked like one that had used all of its attempts. Change: one line `job failed` a job, with the run, the failures counted and the limit of the queue, written after the ends are committed. Result: endMonitor.spec 'guards against a job that fails without a log line of the attempts counted' passes; there was no such line before.

--- a/packages/workflow-control/__tests__/endMonitor.spec.ts
+++ b/packages/workflow-control/__tests__/endMonitor.spec.ts
@@ -55,6 +55,21 @@
     expect(linesOf('slow commit of ends is over')).toHaveLength(1)
     expect(linesOf('runs ended')).toHaveLength(1)
   })
+
+  it('guards against a job that fails without a log line of the attempts counted', async () => {
+    const agent = harness.attach('w')
+    agent.report()
+    harness.submit('j', [{ taskCount: 2 }], 1)
+    await settle()
+    agent.report({
+      ended: [
+        [1, 'j.0.0.0#1', EndKind.FAILED],
+        [2, 'j.0.0.1#1', EndKind.FAILED],
+      ],
+    })
+    await settle()
+    expect(linesOf('job failed')).toMatchObject([{ job: 'j', failures: 1, maxAttempts: 1 }])
+  })
 })
 
 describe('counts of run ends', () => {
--- a/packages/workflow-control/src/endMonitor.ts
+++ b/packages/workflow-control/src/endMonitor.ts
@@ -7,14 +7,15 @@
 /** Wait of an acknowledgement for its commit that is logged, in milliseconds; a commit takes a few disk syncs. */
 const SLOW_COMMIT_MS = 1_000
 
+const { EndKind } = protocol.workflow
+
 type RunEnd = protocol.workflow.RunEnd
-type EndKind = protocol.workflow.EndKind
 type WorkerIdentity = protocol.workflow.WorkerIdentity
 
 /** Ends since the process started. */
 export interface EndCounts {
   /** Committed ends by kind. */
-  readonly committed: Readonly<Record<EndKind, number>>
+  readonly committed: Readonly<Record<protocol.workflow.EndKind, number>>
   /** Ends of runs that the reporting worker does not hold. */
   readonly withoutHolder: number
 }
@@ -25,8 +26,11 @@
 }
 
 export const createEndCounter = (): EndCounter => {
-  const kinds = Object.values(protocol.workflow.EndKind)
-  const committed = Object.fromEntries(kinds.map((kind) => [kind, 0])) as Record<EndKind, number>
+  const kinds = Object.values(EndKind)
+  const committed = Object.fromEntries(kinds.map((kind) => [kind, 0])) as Record<
+    protocol.workflow.EndKind,
+    number
+  >
   let withoutHolder = 0
   return {
     committed,
@@ -82,6 +86,25 @@
     return `task ${task.phase} #${task.run}${holder}`
   }
 
+  /** Logs the jobs that one of the ends has failed, with the attempts that were counted. */
+  const logFailedJobs = (ends: readonly RunEnd[]): void => {
+    const logged = new Set<string>()
+    for (const { run, kind } of ends) {
+      if (run === undefined || kind !== EndKind.FAILED || logged.has(run.job)) continue
+      const job = view.jobs.get(run.job)
+      if (job?.phase !== 'failed') continue
+      logged.add(run.job)
+      const step = job.occurrences.get(run.occurrence)?.steps[run.step]
+      const counter = step?.tasks[step.spec.gang ? 0 : run.index]
+      logger.info('job failed', {
+        job: run.job,
+        run: workflowState.runKey(run),
+        failures: counter?.failures,
+        maxAttempts: job.queue.maxAttempts,
+      })
+    }
+  }
+
   return {
     recordCommitted: (worker, ends, acknowledgedEnd) => {
       counter.countCommitted(ends)
@@ -93,6 +116,7 @@
           return `${run ? workflowState.runKey(run) : ''} ${kind}`
         }),
       })
+      logFailedJobs(ends)
     },
     recordWithoutHolder: (worker, ends) => {
       if (ends.length === 0) return
