fix(workflow-state): one failed run of a gang counts as one attempt

Cause: each member of the gang that ended as failed added one to the gang's failures; the number of the run they share was not looked at. Related: a failure that was reported late did not count for a gang, nor for a task whose later run had failed first, so those could get more runs than the queue allows.

--- a/packages/workflow-state/src/ends.ts
+++ b/packages/workflow-state/src/ends.ts
@@ -60,20 +60,27 @@
   if (step.completedCount === step.spec.taskCount) completeStep(context, step, nowMs)
 }
 
-const failTask = (
+/** Task that holds the failure count: the first member of a gang, else the task itself. */
+const failureCounterOf = (
+  step: records.StepRecord,
+  task: records.TaskRecord,
+): records.TaskRecord => (step.spec.gang ? (step.tasks[0] ?? task) : task)
+
+/** Counts a failed run once, however many members of a gang report it; the job fails after the last attempt. */
+const countFailure = (
   context: workflowState.StateContext,
   step: records.StepRecord,
   task: records.TaskRecord,
+  run: number,
   nowMs: number,
 ): void => {
-  task.failedRun = task.run
-  releaseRun(context, step, task, false)
   if (step.spec.lasting) return
-  // A gang has one failure count, kept on its first member.
-  const failureCountingTask = step.spec.gang ? (step.tasks[0] ?? task) : task
-  failureCountingTask.failures += 1
+  const counter = failureCounterOf(step, task)
+  if (counter.failedRuns.includes(run)) return
+  counter.failedRuns = [...counter.failedRuns, run]
+  counter.failures += 1
   const { job } = step
-  if (failureCountingTask.failures < job.queue.maxAttempts || job.phase !== 'active') return
+  if (counter.failures < job.queue.maxAttempts || job.phase !== 'active') return
   workflowState.endJob(context, job, 'failed', nowMs)
 }
 
@@ -98,8 +105,8 @@
 
 /**
  * Whether a failed end belongs to a run that was released for another reason, for example as lost, before the worker
- * could report the failure. It still counts as an attempt, once for each run. Gangs fail as a whole and long-running tasks
- * have no limit of attempts, so neither is counted late.
+ * could report the failure. It still counts as an attempt, once for each run of a task or gang. Long-running tasks have no
+ * limit of attempts.
  */
 const isLateFailure = (
   jobs: types.WorkflowView['jobs'],
@@ -108,10 +115,11 @@
   if (run === undefined || kind !== EndKind.FAILED) return false
   const job = jobs.get(run.job)
   const step = job?.occurrences.get(run.occurrence)?.steps[run.step]
-  if (job?.phase !== 'active' || step === undefined) return false
-  if (step.spec.gang || step.spec.lasting) return false
+  if (job?.phase !== 'active' || step === undefined || step.spec.lasting) return false
   const task = step.tasks[run.index]
-  if (task === undefined || task.phase === 'completed' || run.run <= task.failedRun) return false
+  if (task === undefined || task.phase === 'completed') return false
+  const counter = step.spec.gang ? step.tasks[0] : task
+  if (counter?.failedRuns.includes(run.run) === true) return false
   return task.phase === 'waiting' ? run.run <= task.run : run.run < task.run
 }
 
@@ -121,18 +129,6 @@
   end: protocol.workflow.RunEnd,
 ): boolean => isLateCompletion(jobs, end) || isLateFailure(jobs, end)
 
-const applyLateFailure = (
-  context: workflowState.StateContext,
-  { job }: records.StepRecord,
-  task: records.TaskRecord,
-  run: number,
-  nowMs: number,
-): void => {
-  task.failedRun = run
-  task.failures += 1
-  if (task.failures >= job.queue.maxAttempts) workflowState.endJob(context, job, 'failed', nowMs)
-}
-
 const applyLateCompletion = (
   context: workflowState.StateContext,
   step: records.StepRecord,
@@ -162,7 +158,7 @@
     return true
   }
   if (isLateFailure(context.jobs, end)) {
-    applyLateFailure(context, step, task, run.run, nowMs)
+    countFailure(context, step, task, run.run, nowMs)
     return true
   }
   if (task.phase !== 'assigned' || task.run !== run.run) return false
@@ -172,8 +168,8 @@
     for (const member of step.spec.gang ? step.tasks : [task]) member.checkpoint = checkpoint
   }
   if (kind === EndKind.COMPLETED && !step.spec.lasting) completeTask(context, step, task, nowMs)
-  else if (kind === EndKind.FAILED) failTask(context, step, task, nowMs)
   else releaseRun(context, step, task, false)
+  if (kind === EndKind.FAILED) countFailure(context, step, task, run.run, nowMs)
   return true
 }
 
--- a/packages/workflow-state/src/records.ts
+++ b/packages/workflow-state/src/records.ts
@@ -45,7 +45,7 @@
   phase: 'waiting',
   run: 0,
   failures: 0,
-  failedRun: 0,
+  failedRuns: [],
   checkpoint: '',
   worker: undefined,
 })
--- a/packages/workflow-state/src/snapshot.ts
+++ b/packages/workflow-state/src/snapshot.ts
@@ -33,7 +33,8 @@
     phase: taskPhases.indexOf(task.phase),
     run: task.run,
     failures: task.failures,
-    failedRun: task.failedRun,
+    failedRun: Math.max(0, ...task.failedRuns),
+    failedRuns: task.failedRuns,
     checkpoint: task.checkpoint,
     worker: task.worker === undefined ? 0 : (workerNumbers.get(keys.workerKey(task.worker)) ?? 0),
   })
@@ -59,6 +60,15 @@
   }).finish()
 }
 
+/** Runs whose failure was counted; earlier versions wrote only the latest one. */
+const restoreFailedRuns = ({
+  failedRun,
+  failedRuns,
+}: protocol.workflow.TaskRecord): readonly number[] => {
+  if (failedRuns.length > 0) return failedRuns
+  return failedRun > 0 ? [failedRun] : []
+}
+
 const restoreStep = (
   context: workflowState.StateContext,
   step: records.StepRecord,
@@ -71,7 +81,7 @@
     task.phase = taskPhases[taskRecord.phase] ?? 'waiting'
     task.run = taskRecord.run
     task.failures = taskRecord.failures
-    task.failedRun = taskRecord.failedRun
+    task.failedRuns = restoreFailedRuns(taskRecord)
     task.checkpoint = taskRecord.checkpoint
     if (task.run > 0) step.job.hasRun = true
     const worker = workers[taskRecord.worker - 1]
--- a/packages/workflow-state/src/types.ts
+++ b/packages/workflow-state/src/types.ts
@@ -9,10 +9,10 @@
   readonly phase: TaskPhase
   /** Number of the latest run; 0 before the first. */
   readonly run: number
-  /** Runs that ended as failed. */
+  /** Number of runs that ended as failed. A gang has one count, kept on its first member. */
   readonly failures: number
-  /** Latest run whose failure was counted; 0 for none. */
-  readonly failedRun: number
+  /** Runs whose failure was counted; a snapshot of an earlier version names only the latest one. */
+  readonly failedRuns: readonly number[]
   /** Checkpoint from which the next run resumes; empty for none. */
   readonly checkpoint: string
   /** Worker incarnation that the current run is assigned to. */
