fix(workflow-control): one failed run of a gang counts once for its worker

What callers saw: after one failed run of a gang of three the worker got no new run for two seconds, although it had failed once. Cause: as in the count of attempts, each member of the gang that ended as failed added one to the consecutive failures of its worker. Change: a failure names its attempt, the same for all members of a gang, and an attempt counts once for a worker until it succeeds or is in quarantine.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -88,6 +88,10 @@
   run: task.run,
 })
 
+/** Key of the attempt that a run is part of: the members of a gang share one. */
+const attemptOf = (run: TaskRun, isGang: boolean): string =>
+  workflowState.runKey(isGang ? { ...run, index: 0 } : run)
+
 export const createLeaderTerm = (
   ctx: context.TermContext,
   term: number,
@@ -133,6 +137,9 @@
     return { step, task }
   }
 
+  const isGang = ({ job, occurrence, step }: TaskRun): boolean =>
+    view.jobs.get(job)?.occurrences.get(occurrence)?.steps[step]?.spec.gang ?? false
+
   const isHeldBy = (active: workflowState.ActiveRun, key: string): boolean =>
     active.task.worker !== undefined && workflowState.workerKey(active.task.worker) === key
 
@@ -158,7 +165,7 @@
       }
     }
     if (kind === EndKind.FAILED || (kind === EndKind.STOPPED && wasStalled)) {
-      health.recordFailure(worker.id, now)
+      health.recordFailure(worker.id, now, attemptOf(run, isGang(run)))
       const workers = failedWorkers.get(key) ?? new Set()
       failedWorkers.set(key, workers.add(worker.id))
     }
--- a/packages/workflow-scheduling/__tests__/health.spec.ts
+++ b/packages/workflow-scheduling/__tests__/health.spec.ts
@@ -18,8 +18,8 @@
     { name: 'counts only consecutive failures', ends: 'bbgb', atMs: 0, accepts: true },
   ])('$name', ({ ends, atMs, accepts }) => {
     const health = scheduling.createHealth()
-    for (const end of ends) {
-      if (end === 'b') health.recordFailure('w', 0)
+    for (const [index, end] of Array.from(ends).entries()) {
+      if (end === 'b') health.recordFailure('w', 0, `run ${index}`)
       else health.recordSuccess('w')
     }
     expect(health.accepts('w', atMs)).toBe(accepts)
@@ -27,7 +27,9 @@
 
   it('is quarantined for longer after a failed retry', () => {
     const health = scheduling.createHealth()
-    for (const atMs of [0, 0, 0, 2_500]) health.recordFailure('w', atMs)
+    for (const [index, atMs] of [0, 0, 0, 2_500].entries()) {
+      health.recordFailure('w', atMs, `run ${index}`)
+    }
     expect(health.accepts('w', 2_500 + 2_001)).toBe(false)
     expect(health.accepts('w', 2_500 + 4_001)).toBe(true)
   })
--- a/packages/workflow-scheduling/src/health.ts
+++ b/packages/workflow-scheduling/src/health.ts
@@ -17,6 +17,8 @@
 
 interface HealthRecord {
   consecutiveFailures: number
+  /** Attempts behind the consecutive failures since the last quarantine; never more than `FAILURES_TO_QUARANTINE`. */
+  readonly failedAttempts: Set<string>
   quarantineCount: number
   pausedUntilMs: number
 }
@@ -25,8 +27,12 @@
 export interface Health {
   /** Records that a run completed. */
   readonly recordSuccess: (worker: string) => void
-  /** Records that a run failed or stalled. */
-  readonly recordFailure: (worker: string, nowMs: number) => void
+  /**
+   * Records that a run failed or stalled.
+   *
+   * @param attempt names the run, the same for all members of a gang: it counts once for a worker
+   */
+  readonly recordFailure: (worker: string, nowMs: number, attempt: string) => void
   /** Records that the worker refused to start a run. */
   readonly recordRefusal: (worker: string, nowMs: number) => void
   /** Whether new runs may start there at `nowMs`. */
@@ -43,6 +49,7 @@
   const recordOf = (worker: string): HealthRecord => {
     const known = records.get(worker) ?? {
       consecutiveFailures: 0,
+      failedAttempts: new Set<string>(),
       quarantineCount: 0,
       pausedUntilMs: 0,
     }
@@ -54,16 +61,20 @@
     recordSuccess: (worker) => {
       const record = recordOf(worker)
       record.consecutiveFailures = 0
+      record.failedAttempts.clear()
       record.quarantineCount = 0
     },
-    recordFailure: (worker, nowMs) => {
+    recordFailure: (worker, nowMs, attempt) => {
       const record = recordOf(worker)
       // Failures of runs that started before the quarantine are no new evidence.
       if (record.pausedUntilMs > nowMs && record.quarantineCount > 0) return
+      if (record.failedAttempts.has(attempt)) return
+      record.failedAttempts.add(attempt)
       record.consecutiveFailures += 1
       if (record.consecutiveFailures < FAILURES_TO_QUARANTINE) return
       const pauseMs = Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** record.quarantineCount)
       record.quarantineCount += 1
+      record.failedAttempts.clear()
       // One more failure after the pause quarantines the worker again.
       record.consecutiveFailures = FAILURES_TO_QUARANTINE - 1
       record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + pauseMs)
