fix(workflow-state): one completed member completes its whole gang

What callers would see: a job with a gang of which one member was recorded as lost or broken before another reported the completion is shown as running for ever; with all members recorded as lost first, the completed gang ran again. Cause: an end completed only the members still assigned, and a gang is assigned as a whole or not at all; a late completion was ignored for gangs. Change: a completed end completes every member of its run, assigned or released.

--- a/packages/workflow-state/src/ends.ts
+++ b/packages/workflow-state/src/ends.ts
@@ -46,17 +46,33 @@
   workflowState.updateReadySteps(context, step)
 }
 
+/** Completes a task, whether its run is still assigned or was released before its end was known. */
+const completeRun = (
+  context: workflowState.StateContext,
+  step: records.StepRecord,
+  task: records.TaskRecord,
+): void => {
+  if (task.phase === 'assigned') {
+    releaseRun(context, step, task, true)
+    return
+  }
+  task.phase = 'completed'
+  step.waitingCount -= 1
+  step.completedCount += 1
+  workflowState.updateReadySteps(context, step)
+}
+
 const completeTask = (
   context: workflowState.StateContext,
   step: records.StepRecord,
   task: records.TaskRecord,
   nowMs: number,
 ): void => {
-  // A gang is completed as soon as one of its members is.
+  // The members of a gang complete together, those too that were recorded as lost or stopped before.
   const members = step.spec.gang
-    ? step.tasks.filter((other) => other.phase === 'assigned' && other.run === task.run)
+    ? step.tasks.filter(({ phase, run }) => phase !== 'completed' && run === task.run)
     : [task]
-  for (const member of members) releaseRun(context, step, member, true)
+  for (const member of members) completeRun(context, step, member)
   if (step.completedCount === step.spec.taskCount) completeStep(context, step, nowMs)
 }
 
@@ -86,8 +102,8 @@
 
 /**
  * Whether an end completes a task that waits for its next run: its latest run was released, for example as lost, before
- * the worker could report the completion. The run number shows that no other run was assigned since. Gangs end as a whole
- * and long-running tasks never complete, so neither is completed late.
+ * the worker could report the completion. The run number shows that no other run was assigned since. One such end
+ * completes a whole gang. Long-running tasks never complete.
  */
 const isLateCompletion = (
   jobs: types.WorkflowView['jobs'],
@@ -97,7 +113,7 @@
   const job = jobs.get(run.job)
   const step = job?.occurrences.get(run.occurrence)?.steps[run.step]
   if (job?.phase !== 'active' || step === undefined) return false
-  if (step.spec.gang || step.spec.lasting) return false
+  if (step.spec.lasting) return false
   const task = step.tasks[run.index]
   // A task that never ran waits with run 0.
   return task?.phase === 'waiting' && task.run > 0 && task.run === run.run
@@ -129,19 +145,6 @@
   end: protocol.workflow.RunEnd,
 ): boolean => isLateCompletion(jobs, end) || isLateFailure(jobs, end)
 
-const applyLateCompletion = (
-  context: workflowState.StateContext,
-  step: records.StepRecord,
-  task: records.TaskRecord,
-  nowMs: number,
-): void => {
-  task.phase = 'completed'
-  step.waitingCount -= 1
-  step.completedCount += 1
-  workflowState.updateReadySteps(context, step)
-  if (step.completedCount === step.spec.taskCount) completeStep(context, step, nowMs)
-}
-
 const recordEnd = (
   context: workflowState.StateContext,
   worker: protocol.workflow.WorkerIdentity,
@@ -154,7 +157,7 @@
   const task = step?.tasks[run.index]
   if (step === undefined || task === undefined) return false
   if (isLateCompletion(context.jobs, end)) {
-    applyLateCompletion(context, step, task, nowMs)
+    completeTask(context, step, task, nowMs)
     return true
   }
   if (isLateFailure(context.jobs, end)) {
