fix(workflow-agent): the worker's own answers decide which incarnation is followed

Cause: the agent took an announcement as proof of an incarnation, a later start time as proof of a newer one, and the highest sequence number as the newest state. Change: an announced incarnation is asked for with a list call that changes nothing, and followed once the worker answers as it; 421 or another start time rules it out. Within an incarnation only announcements that continue the worker's series count, and others once they repeat while it is silent, or at once if the leader says that the configuration does not name the service. A life that a list showed first gets no new runs until it announces itself, since it may be of another kind.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -1,16 +1,15 @@
 import * as timers from 'node:timers/promises'
-import * as grpc from '@grpc/grpc-js'
 import * as protocol from '@ebonyweir/protocol'
 import * as telemetry from '@ebonyweir/telemetry/logger'
 import * as vitest from 'vitest'
 import type * as runners from '../src/runner.js'
 import * as workerAgents from '../src/workerAgent.js'
+import * as standInLeaders from './standInLeader.js'
 
 const { afterEach, describe, expect, it } = vitest
 const { EndKind } = protocol.workflow
 
-const RUN: protocol.workflow.TaskRun = { job: 'j', occurrence: 0, step: 0, index: 0, run: 1 }
-const LEASE_MS = 6_000
+const { RUN } = standInLeaders
 
 /** Longer than the delays of the agent between two calls. */
 const SETTLE_MS = 300
@@ -24,74 +23,9 @@
 /** Duration of the list calls of a restarted worker; orders are repeated sooner. */
 const RESTARTED_LIST_MS = 200
 
-type AttachCall = grpc.ServerDuplexStream<
-  protocol.workflow.WorkerReport,
-  protocol.workflow.WorkerOrders
->
-
 const waitUntil = (check: () => boolean): Promise<unknown> =>
   vitest.vi.waitUntil(check, { timeout: WAIT_TIMEOUT_MS })
 
-/** Leader that extends the lease with each report and sends the orders that the test gives. */
-const createLeader = async () => {
-  const reports: protocol.workflow.WorkerReport[] = []
-  let stream: AttachCall | undefined
-  const send = (orders: Partial<protocol.workflow.WorkerOrders>): void => {
-    stream?.write({
-      ...protocol.workflow.WorkerOrders.fromPartial({}),
-      fence: 3,
-      leading: true,
-      worker: reports.at(-1)?.worker?.identity,
-      ...orders,
-    })
-  }
-  const server = new grpc.Server()
-  server.addService(protocol.workflow.WorkflowService, {
-    attach: (call: AttachCall) => {
-      stream = call
-      call.on('data', (report: protocol.workflow.WorkerReport) => {
-        reports.push(report)
-        send({ leaseUntilMs: report.sample > 0 ? report.clockMs + LEASE_MS : 0 })
-      })
-    },
-  })
-  const port = await new Promise<number>((resolve, reject) => {
-    server.bindAsync('127.0.0.1:0', grpc.ServerCredentials.createInsecure(), (error, bound) => {
-      if (error === null) resolve(bound)
-      else reject(error)
-    })
-  })
-  return {
-    address: `127.0.0.1:${port}`,
-    reports,
-    start: (order: Partial<protocol.workflow.StartOrder>): void => {
-      const given = protocol.workflow.StartOrder.fromPartial({ pacePercent: 100 })
-      send({ starts: [{ ...given, run: RUN, ...order }] })
-    },
-    /** Acknowledges all reports so far. */
-    acknowledge: (): void => {
-      send({ sequence: reports.at(-1)?.sequence ?? 0 })
-    },
-    /** Reports the ends up to `number` as committed. */
-    commit: (number: number): void => {
-      send({ acknowledgedEnd: number })
-    },
-    stop: (): void => {
-      send({ stops: [RUN] })
-    },
-    pace: (percent: number): void => {
-      send({ paces: [{ run: RUN, percent }] })
-    },
-    /** Ends the stream like a replica that lost the leadership. */
-    resign: (): void => {
-      stream?.end()
-    },
-    close: (): void => {
-      server.forceShutdown()
-    },
-  }
-}
-
 /** Worker whose answers to starts are preset; the last one is repeated. */
 const createWorker = (answers: readonly runners.StartAnswer[]) => {
   const paces: number[] = []
@@ -191,7 +125,7 @@
 })
 
 const createSubject = async (answers: readonly runners.StartAnswer[]) => {
-  const leader = await createLeader()
+  const leader = await standInLeaders.createLeader()
   const worker = createWorker(answers)
   const agent = workerAgents.createWorkerAgent({
     cell: 'test',
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -4,7 +4,10 @@
 import type * as telemetry from '@ebonyweir/telemetry/logger'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import type * as announcements from './announcement.js'
+import * as announcementSeries from './announcementSeries.js'
 import type * as attachTraces from './attachTrace.js'
+import * as incarnationProbes from './incarnationProbe.js'
 import * as leaderStreams from './leaderStream.js'
 import * as interruptibleDelays from './interruptibleDelay.js'
 import type * as runners from './runner.js'
@@ -38,17 +41,6 @@
 /** Largest step from one end number to the next; a worker lists 500 ends at a time, numbered one after the other. */
 const MAX_END_NUMBER_GAP = 100_000
 
-/** Description that a worker announces. */
-export interface Announcement {
-  readonly worker: Omit<protocol.workflow.WorkerDescription, 'identity'> & {
-    readonly identity: Omit<protocol.workflow.WorkerIdentity, 'agent'>
-  }
-  /** Increases with each announcement of an incarnation. */
-  readonly sequence: number
-  readonly draining: boolean
-  readonly drainRemainingMs: number
-}
-
 export interface WorkerAgentOptions {
   readonly cell: string
   /** Name of the agent, unique in its cell. */
@@ -64,24 +56,20 @@
 }
 
 export interface WorkerAgent {
-  /** Applies an announcement; one of an older incarnation or out of order has no effect. */
-  readonly announce: (announcement: Announcement) => void
+  /** Applies an announcement unless the worker's answers or its other announcements contradict it. */
+  readonly announce: (announcement: announcements.Announcement) => void
   readonly leave: (workerId: string) => void
   readonly isAttached: () => boolean
+  /** Announcements of incarnations that the worker's own answers ruled out, since the start. */
+  readonly refutedAnnouncements: () => number
   readonly start: () => void
   readonly stop: () => void
 }
 
-/** Announcement whose identity includes the agent's name. */
-interface OwnAnnouncement extends Announcement {
-  readonly worker: Announcement['worker'] & {
-    readonly identity: protocol.workflow.WorkerIdentity
-  }
-}
-
 /** State of one incarnation of the worker. */
 interface WorkerIncarnation {
-  announcement: OwnAnnouncement
+  readonly series: announcementSeries.AnnouncementSeries
+  announcement: announcements.OwnAnnouncement
   readonly table: runTables.RunTable
   leaseUntilMs: number
   acknowledgedEnd: number
@@ -121,8 +109,6 @@
   const nowMs = options.nowMs ?? (() => performance.now())
   let incarnation: WorkerIncarnation | undefined
   let fence: number | undefined
-  /** Start time of the latest announced incarnation that the worker itself did not confirm. */
-  let disbelievedMs: number | undefined
   let reportSequence = 0
   let reportedMs = 0
   let stopped = true
@@ -180,6 +166,7 @@
     if (workflowState.workerKey(worker) !== workflowState.workerKey(ownIdentity)) return
     incarnation.leaseUntilMs = Math.max(incarnation.leaseUntilMs, orders.leaseUntilMs)
     incarnation.acknowledgedEnd = Math.max(incarnation.acknowledgedEnd, orders.acknowledgedEnd)
+    incarnation.series.setDoubt(orders.unknownService)
     if (incarnation.acknowledgedEnd >= incarnation.listedEnd) incarnation.listDelay.interrupt()
     for (const order of orders.starts) if (!isBeingRejected(order)) incarnation.table.start(order)
     for (const run of orders.stops) incarnation.table.stop(run)
@@ -252,7 +239,6 @@
       announcedMs,
       bornMs,
     })
-    disbelievedMs = announcedMs
     replaceIncarnation(current, bornMs)
   }
 
@@ -342,7 +328,11 @@
     for (const waiter of closingIncarnation.inProgressWaiters.splice(0)) waiter(undefined)
   }
 
-  const startIncarnation = (announcement: OwnAnnouncement): void => {
+  /** @param isAnnounced whether the worker itself announced the description, as far as can be told */
+  const startIncarnation = (
+    announcement: announcements.OwnAnnouncement,
+    isAnnounced: boolean,
+  ): void => {
     if (incarnation !== undefined) closeIncarnation(incarnation)
     rejections = []
     const { identity } = announcement.worker
@@ -375,6 +365,10 @@
       },
     })
     const newIncarnation: WorkerIncarnation = {
+      series: announcementSeries.createAnnouncementSeries(
+        isAnnounced ? announcement : undefined,
+        nowMs(),
+      ),
       announcement,
       table,
       leaseUntilMs: 0,
@@ -396,37 +390,79 @@
     void listLoop(newIncarnation)
   }
 
-  /** Replaces an incarnation after a list showed a later one than the announcements did. */
+  /**
+   * Replaces an incarnation after a list showed another start time than the announcement. The new life may be of another
+   * kind, so it has no service, and gets no new runs, until it announces itself.
+   */
   const replaceIncarnation = ({ announcement }: WorkerIncarnation, bornMs: number): void => {
     const identity = { ...announcement.worker.identity, bornMs }
-    startIncarnation({
-      worker: { ...announcement.worker, identity },
+    const unannounced = {
+      worker: { ...announcement.worker, identity, service: '' },
       sequence: 0,
       draining: false,
       drainRemainingMs: 0,
-    })
+    }
+    startIncarnation(unannounced, false)
+  }
+
+  /** Applies an announcement of the current incarnation. */
+  const update = (
+    current: WorkerIncarnation,
+    announcement: announcements.OwnAnnouncement,
+  ): void => {
+    if (!current.series.accepts(announcement, nowMs())) return
+    const { draining, worker } = current.announcement
+    current.announcement = announcement
+    if (draining !== announcement.draining) {
+      const { id } = announcement.worker.identity
+      logger.info('worker draining', { worker: id, draining: announcement.draining })
+    }
+    const isDescribedAnew = worker.service !== announcement.worker.service
+    if (draining !== announcement.draining || isDescribedAnew) report()
   }
 
+  const isCurrent = ({ worker }: announcements.OwnAnnouncement): boolean =>
+    incarnation !== undefined &&
+    workflowState.workerKey(incarnation.announcement.worker.identity) ===
+      workflowState.workerKey(worker.identity)
+
+  const probe = incarnationProbes.createIncarnationProbe({
+    runner,
+    logger,
+    nowMs,
+    fence: () => fence ?? 0,
+    onConfirmed: (announcement) => {
+      // A list may have shown the incarnation in the meantime.
+      if (incarnation !== undefined && isCurrent(announcement)) update(incarnation, announcement)
+      else startIncarnation(announcement, true)
+    },
+    onOtherStartTime: (id, bornMs) => {
+      const current = incarnation?.announcement.worker.identity
+      if (incarnation === undefined || current?.id !== id || current.bornMs !== bornMs) return
+      incarnation.isResponsive = true
+    },
+  })
+
   const announce: WorkerAgent['announce'] = (received) => {
     const identity = { ...received.worker.identity, agent: name }
-    if (identity.bornMs === disbelievedMs) return
-    const announcement: OwnAnnouncement = { ...received, worker: { ...received.worker, identity } }
-    const previous = incarnation?.announcement
-    const isSame =
-      previous !== undefined &&
-      workflowState.workerKey(previous.worker.identity) === workflowState.workerKey(identity)
-    if (incarnation !== undefined && previous !== undefined && isSame) {
-      if (announcement.sequence <= previous.sequence) return
-      const changed = previous.draining !== announcement.draining
-      incarnation.announcement = announcement
-      if (changed) {
-        logger.info('worker draining', { worker: identity.id, draining: announcement.draining })
-        report()
-      }
+    const announcement: announcements.OwnAnnouncement = {
+      ...received,
+      worker: { ...received.worker, identity },
+    }
+    if (incarnation === undefined) {
+      startIncarnation(announcement, true)
       return
     }
-    if (previous !== undefined && identity.bornMs < previous.worker.identity.bornMs) return
-    startIncarnation(announcement)
+    if (isCurrent(announcement)) {
+      update(incarnation, announcement)
+      return
+    }
+    // Orders carry only the id, so a later incarnation would carry out those for the current one.
+    const current = incarnation.announcement.worker.identity
+    if (identity.id === current.id && identity.bornMs > current.bornMs) {
+      incarnation.isResponsive = false
+    }
+    probe.ask(announcement)
   }
 
   return {
@@ -435,6 +471,7 @@
       logger.info('worker left', { worker: workerId })
     },
     isAttached: () => stream.isAttached(),
+    refutedAnnouncements: probe.refutedCount,
     start: () => {
       stopped = false
       stream.start()
@@ -445,6 +482,7 @@
     stop: () => {
       stopped = true
       clearInterval(reportTimer)
+      probe.close()
       if (incarnation !== undefined) closeIncarnation(incarnation)
       stream.stop()
     },
--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -51,6 +51,7 @@
     leading: true,
     worker: undefined,
     paces: [],
+    unknownService: false,
   })
   const sent = new Map<unknown, workerSession.OrderStream>()
   const term = {
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -73,6 +73,7 @@
       leading: false,
       worker: undefined,
       paces: [],
+      unknownService: false,
     })
     close()
   }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -639,6 +639,8 @@
         fence: term,
         workerLeaseMs: timing.workerLeaseMs,
         nowMs,
+        isKnownService: (service) =>
+          view.configuration?.pools.some((pool) => pool.service === service) ?? true,
       })
       byAgent.set(agent, session)
       return session
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -17,6 +17,8 @@
   readonly fence: number
   readonly workerLeaseMs: number
   readonly nowMs: () => number
+  /** Whether the configuration names a service; true while there is none. */
+  readonly isKnownService: (service: string) => boolean
 }
 
 export interface WorkerSession {
@@ -69,6 +71,7 @@
       leading: true,
       worker: worker?.identity,
       paces: [],
+      unknownService: worker !== undefined && !options.isKnownService(worker.service),
       ...orders,
     })
   }
