fix(workflow-control): the log of an evacuation names the domain it changes

Cause: the leader logged the request's failureDomain under the name of the logger's own field, which overwrote it, so the log named the zone of the machine that logged and orders for different domains could not be told apart.

--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -185,7 +185,13 @@
   const evacuate: CallHandlers['evacuate'] = async (request) => {
     if (ctx.leadingTerm() === undefined) return notLeading()
     const answer = await commit({ $case: 'evacuation', value: request })
-    logger.info('evacuation changed', { ...request, outcome: answer.outcome })
+    const { failureDomain, evacuated } = request
+    // The logger's own field `failureDomain` is that of the replica.
+    logger.info('evacuation changed', {
+      changedDomain: failureDomain,
+      evacuated,
+      outcome: answer.outcome,
+    })
     return answer
   }
 
