fix(workflow-state): an evacuation order that a later one has overtaken has no effect

Cause: orders of a domain carry no version and the last commit won, whatever the age of the order. It can wait in a socket, in a process, in an abandoned gRPC call or at a frozen leader. Late configurations, cancels and submissions have a case each that shows why they change nothing.

--- a/packages/experiment/src/fillers/variants.ts
+++ b/packages/experiment/src/fillers/variants.ts
@@ -77,6 +77,7 @@
 ): workflowState.WorkflowView => ({
   configuration: view.configuration,
   evacuated: view.evacuated,
+  evacuationRevisions: view.evacuationRevisions,
   jobs: view.jobs,
   readySteps: view.readySteps,
   get loads() {
--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -48,6 +48,10 @@
     protocol.workflow.ConfigurationQuery,
     protocol.workflow.ConfigurationReply
   >
+  readonly prepareEvacuation: Call<
+    protocol.workflow.EvacuationQuery,
+    protocol.workflow.EvacuationReply
+  >
   readonly evacuate: Call<protocol.workflow.SetEvacuation, protocol.workflow.CallReply>
   readonly contact: Call<protocol.workflow.ContactRequest, protocol.workflow.ContactReply>
   /** Time since a leader last answered any call; infinite if none ever did. */
@@ -314,6 +318,9 @@
     readConfiguration: bind((client, request, settings, done) =>
       client.readConfiguration(request, emptyMetadata(), settings, done),
     ),
+    prepareEvacuation: bind((client, request, settings, done) =>
+      client.prepareEvacuation(request, emptyMetadata(), settings, done),
+    ),
     evacuate: bind((client, request, settings, done) =>
       client.evacuate(request, emptyMetadata(), settings, done),
     ),
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -372,7 +372,7 @@
     harness.submit('j', [{ taskCount: 2 }])
     await settle()
     agent.report({ running: ['j.0.0.0#1'] })
-    const evacuated = { failureDomain: 'rennes', evacuated: true }
+    const evacuated = { failureDomain: 'rennes', evacuated: true, ticket: undefined }
     harness.apply({ $case: 'evacuation', value: evacuated })
     await harness.pass(200)
     expect(agent.stops()).toEqual(['j.0.0.1#1'])
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -16,6 +16,10 @@
   readonly countPending: (request: protocol.workflow.JobQuery) => protocol.workflow.PendingReply
   readonly configure: (request: protocol.workflow.QueueConfiguration) => Promise<CallReply>
   readonly readConfiguration: () => Promise<protocol.workflow.ConfigurationReply>
+  /** Gives a ticket for an order that its sender still waits for. */
+  readonly prepareEvacuation: (
+    request: protocol.workflow.EvacuationQuery,
+  ) => protocol.workflow.EvacuationReply
   readonly evacuate: (request: protocol.workflow.SetEvacuation) => Promise<CallReply>
   readonly contact: () => protocol.workflow.ContactReply
 }
@@ -182,14 +186,26 @@
     return { reply: reply(CallOutcome.OK), version, document }
   }
 
+  const prepareEvacuation: CallHandlers['prepareEvacuation'] = ({ failureDomain }) => {
+    if (ctx.leadingTerm() === undefined) return { reply: notLeading(), ticket: undefined }
+    const revision = workflowState.revisionOf(ctx.view.evacuationRevisions, failureDomain)
+    return { reply: reply(CallOutcome.OK), ticket: { revision } }
+  }
+
   const evacuate: CallHandlers['evacuate'] = async (request) => {
     if (ctx.leadingTerm() === undefined) return notLeading()
-    const answer = await commit({ $case: 'evacuation', value: request })
-    const { failureDomain, evacuated } = request
+    const { failureDomain, evacuated, ticket } = request
+    const result = await ctx.propose({ $case: 'evacuation', value: request })
+    let answer = result.isErr() ? proposeFailure(result.error) : reply(CallOutcome.OK)
+    if (result.isOk()) onChange()
+    if (result.isOk() && result.value.kind === 'evacuation' && !result.value.isInForce) {
+      answer = reply(CallOutcome.SUPERSEDED, { detail: 'a later order was carried out' })
+    }
     // The logger's own field `failureDomain` is that of the replica.
     logger.info('evacuation changed', {
       changedDomain: failureDomain,
       evacuated,
+      revision: ticket?.revision,
       outcome: answer.outcome,
     })
     return answer
@@ -209,6 +225,7 @@
     countPending,
     configure,
     readConfiguration,
+    prepareEvacuation,
     evacuate,
     contact,
   }
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -154,6 +154,7 @@
     countPending: unary(parts.calls.countPending),
     configure: unary(parts.calls.configure),
     readConfiguration: unary(parts.calls.readConfiguration),
+    prepareEvacuation: unary(parts.calls.prepareEvacuation),
     evacuate: unary(parts.calls.evacuate),
     contact: unary(parts.calls.contact),
     identify: unary(parts.membership.identify),
--- a/packages/workflow-state/__tests__/snapshot.spec.ts
+++ b/packages/workflow-state/__tests__/snapshot.spec.ts
@@ -58,7 +58,7 @@
     case 'evacuate':
       subject.apply({
         $case: 'evacuation',
-        value: { failureDomain: 'rennes', evacuated: index === 0 },
+        value: { failureDomain: 'rennes', evacuated: index === 0, ticket: { revision: step } },
       })
   }
 }
@@ -66,6 +66,7 @@
 /** State that is visible to later commands and to readers. */
 const describeState = ({ view }: workflowState.WorkflowState): unknown => ({
   evacuated: [...view.evacuated].sort(),
+  revisions: [...view.evacuationRevisions],
   jobs: [...view.jobs.values()].map((job) => [
     job.spec.id,
     job.phase,
--- a/packages/workflow-state/__tests__/workflowState.spec.ts
+++ b/packages/workflow-state/__tests__/workflowState.spec.ts
@@ -105,8 +105,10 @@
   it('guards against an assignment while the failure domain is evacuated', () => {
     const subject = support.createSubject()
     subject.submit(job('j', [step()]))
-    const evacuation = (evacuated: boolean) =>
-      subject.apply({ $case: 'evacuation', value: { failureDomain: 'rennes', evacuated } })
+    const evacuation = (evacuated: boolean) => {
+      const value = { failureDomain: 'rennes', evacuated, ticket: undefined }
+      return subject.apply({ $case: 'evacuation', value })
+    }
     evacuation(true)
     expect(subject.assign(worker('w'), 'j.0.0.0')).toEqual([])
     evacuation(false)
@@ -550,6 +552,111 @@
   })
 })
 
+describe('orders that are carried out late', () => {
+  /** Order for an evacuation, with the revision of its ticket: "+" evacuates, "-" takes it back. */
+  const orders: readonly {
+    readonly name: string
+    readonly given: readonly (readonly ['+' | '-', number])[]
+    readonly inForce: readonly boolean[]
+    readonly evacuated: boolean
+  }[] = [
+    {
+      name: 'guards against a late evacuation after it was taken back',
+      given: [
+        ['+', 0],
+        ['-', 1],
+        ['+', 0],
+      ],
+      inForce: [true, true, false],
+      evacuated: false,
+    },
+    {
+      name: 'guards against a late order that takes back a later evacuation',
+      given: [
+        ['+', 0],
+        ['-', 1],
+        ['+', 2],
+        ['-', 1],
+      ],
+      inForce: [true, true, true, false],
+      evacuated: true,
+    },
+    {
+      name: 'acknowledges a copy of the order in force, whatever its ticket',
+      given: [
+        ['+', 0],
+        ['+', 0],
+        ['+', 1],
+        ['-', 1],
+        ['-', 1],
+      ],
+      inForce: [true, true, true, true, true],
+      evacuated: false,
+    },
+    {
+      name: 'carries out each of several cycles at once',
+      given: [
+        ['+', 0],
+        ['-', 1],
+        ['+', 2],
+        ['-', 3],
+        ['+', 4],
+      ],
+      inForce: [true, true, true, true, true],
+      evacuated: true,
+    },
+  ]
+
+  it.each(orders)('$name', ({ given, inForce, evacuated }) => {
+    let subject = support.createSubject()
+    const outcomes = given.map(([sign, revision]) => {
+      const value = { failureDomain: 'rennes', evacuated: sign === '+', ticket: { revision } }
+      const outcome = subject.apply({ $case: 'evacuation', value })
+      // The revision survives a restart from a snapshot.
+      const restored = support.createSubject()
+      restored.state.restore(subject.state.snapshot())
+      subject = restored
+      return outcome.kind === 'evacuation' && outcome.isInForce
+    })
+    expect(outcomes).toEqual(inForce)
+    expect(subject.view.evacuated.has('rennes')).toBe(evacuated)
+  })
+
+  const others: readonly {
+    readonly name: string
+    readonly late: (subject: ReturnType<typeof support.createSubject>) => void
+  }[] = [
+    {
+      name: 'a cancel is final, so a late copy changes nothing',
+      late: (subject) => subject.apply({ $case: 'cancel', value: { job: 'j' } }),
+    },
+    {
+      name: 'a submission is known by its id, so a late copy starts nothing again',
+      late: (subject) => subject.submit(job('j', [step(), step()])),
+    },
+    {
+      name: 'a configuration has a version, so a late older one changes nothing',
+      late: (subject) => {
+        const older = protocol.workflow.QueueConfiguration.fromPartial({ version: 1 })
+        subject.apply({ $case: 'configure', value: older })
+      },
+    },
+  ]
+
+  it.each(others)('$name', ({ late }) => {
+    const subject = support.createSubject()
+    for (const version of [1, 2]) {
+      const configuration = protocol.workflow.QueueConfiguration.fromPartial({ version })
+      subject.apply({ $case: 'configure', value: configuration })
+    }
+    subject.submit(job('j', [step()]))
+    subject.apply({ $case: 'cancel', value: { job: 'j' } })
+    const before = subject.state.snapshot()
+    late(subject)
+    expect(subject.state.snapshot()).toEqual(before)
+  })
+})
+
 describe('jobs and configuration', () => {
   it('guards against a repeated submission that replaces the job', () => {
     const subject = support.createSubject()
--- a/packages/workflow-state/src/snapshot.ts
+++ b/packages/workflow-state/src/snapshot.ts
@@ -57,6 +57,10 @@
     evacuated: [...context.evacuated],
     workers,
     jobs: [...context.jobs.values()].map(encodeJob),
+    evacuationRevisions: [...context.evacuationRevisions].map(([failureDomain, revision]) => ({
+      failureDomain,
+      revision,
+    })),
   }).finish()
 }
 
@@ -132,6 +136,10 @@
   context.configuration = snapshot.configuration
   context.evacuated.clear()
   for (const domain of snapshot.evacuated) context.evacuated.add(domain)
+  context.evacuationRevisions.clear()
+  for (const { failureDomain, revision } of snapshot.evacuationRevisions) {
+    context.evacuationRevisions.set(failureDomain, revision)
+  }
   context.jobs.clear()
   context.readySteps.clear()
   context.loadTracker.clear()
--- a/packages/workflow-state/src/types.ts
+++ b/packages/workflow-state/src/types.ts
@@ -79,6 +79,8 @@
 export interface WorkflowView {
   readonly configuration: protocol.workflow.QueueConfiguration | undefined
   readonly evacuated: ReadonlySet<string>
+  /** Number of changes of each failure domain that was ever evacuated. */
+  readonly evacuationRevisions: ReadonlyMap<string, number>
   readonly jobs: ReadonlyMap<string, JobView>
   /** Steps of active jobs that have waiting tasks and only completed dependencies. */
   readonly readySteps: ReadonlySet<StepView>
@@ -93,4 +95,6 @@
   | { readonly kind: 'cancelled'; readonly found: boolean }
   | { readonly kind: 'assigned'; readonly accepted: readonly protocol.workflow.Assignment[] }
   | { readonly kind: 'ended'; readonly ignored: number }
+  /** `isInForce` is false for an order that a later one has overtaken. */
+  | { readonly kind: 'evacuation'; readonly isInForce: boolean }
   | { readonly kind: 'applied' }
--- a/packages/workflow-state/src/workflowState.ts
+++ b/packages/workflow-state/src/workflowState.ts
@@ -5,6 +5,7 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as assignments from './assignments.js'
 import * as ends from './ends.js'
+import * as evacuations from './evacuations.js'
 import * as loadTrackers from './loadTracker.js'
 import * as records from './records.js'
 import * as snapshots from './snapshot.js'
@@ -16,6 +17,7 @@
 export interface StateContext {
   configuration: protocol.workflow.QueueConfiguration | undefined
   readonly evacuated: Set<string>
+  readonly evacuationRevisions: Map<string, number>
   readonly jobs: Map<string, records.JobRecord>
   readonly readySteps: Set<records.StepRecord>
   readonly loadTracker: loadTrackers.LoadTracker
@@ -112,6 +114,7 @@
   const context: StateContext = {
     configuration: undefined,
     evacuated: new Set(),
+    evacuationRevisions: new Map(),
     jobs: new Map(),
     readySteps: new Set(),
     loadTracker: loadTrackers.createLoadTracker(),
@@ -122,9 +125,7 @@
       case 'configure':
         return configure(context, body.value)
       case 'evacuation':
-        if (body.value.evacuated) context.evacuated.add(body.value.failureDomain)
-        else context.evacuated.delete(body.value.failureDomain)
-        return { kind: 'applied' }
+        return evacuations.setEvacuation(context, body.value)
       case 'submit':
         return submit(context, body.value, nowMs)
       case 'cancel':
@@ -149,6 +150,7 @@
         return context.configuration
       },
       evacuated: context.evacuated,
+      evacuationRevisions: context.evacuationRevisions,
       jobs: context.jobs,
       readySteps: context.readySteps,
       loads: context.loadTracker.loads,
