feat(workflow-control): log each order to stop runs with its reason

Cause: the log showed that runs ended as stopped but not which of the leader's seven decisions had ordered it, so a stop in an evacuated domain looked like a move. Change: all stop orders go through runStops.ts, which logs worker, reason and runs once for each order that is sent; no decision changes.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -16,6 +16,7 @@
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
 import * as runProgress from './runProgress.js'
+import * as runStops from './runStops.js'
 import * as termPolicies from './termPolicies.js'
 import * as waitMonitors from './waitMonitor.js'
 import * as sessions from './workerSession.js'
@@ -120,6 +121,7 @@
   const durations = policies.createDurations()
   const progress = runProgress.createRunProgress(durations)
   const disturbance = policies.createInterferenceModel()
+  const stops = runStops.createRunStops({ logger })
   const endCommits = pendingEndCommits.createPendingEndCommits()
   const proposeBatched = proposalBatch.createProposalBatch(ctx)
   const accounting = bestEffortAccounting.createBestEffortAccounting({
@@ -232,18 +234,21 @@
     const load = view.loads.get(session.key)
     if (load === undefined) return
     const starts: protocol.workflow.StartOrder[] = []
-    const stops: TaskRun[] = []
+    const ended: TaskRun[] = []
+    const withdrawn: TaskRun[] = []
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
       const run = runOf(active)
       if (endCommits.has(run) || endProcessor.hasOpenEnd(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
-      if (active.step.job.phase !== 'active' || (!isRunning && !mayStart)) stops.push(run)
+      if (active.step.job.phase !== 'active') ended.push(run)
+      else if (!isRunning && !mayStart) withdrawn.push(run)
       else starts.push(startOrder(active, true))
     }
     session.start(starts)
-    session.stop(stops)
+    stops.stop(session, ended, 'job ended')
+    stops.stop(session, withdrawn, 'start withdrawn')
   }
 
   /** Records the runs of an incarnation that has certainly stopped as lost, except runs whose end is being committed. */
@@ -288,7 +293,7 @@
     if (identity === undefined) return
     for (const { identity: held, runs } of view.loads.values()) {
       if (held.id === identity.id && held.bornMs < identity.bornMs) {
-        session.stop([...runs.values()].map(runOf))
+        stops.stop(session, [...runs.values()].map(runOf), 'earlier incarnation')
       }
     }
   }
@@ -303,7 +308,8 @@
     for (const { identity: held, runs } of view.loads.values()) {
       for (const session of byWorkerId.get(held.id) ?? []) {
         const bornMs = session.identity?.bornMs ?? held.bornMs
-        if (held.bornMs < bornMs) session.stop([...runs.values()].map(runOf))
+        if (held.bornMs >= bornMs) continue
+        stops.stop(session, [...runs.values()].map(runOf), 'earlier incarnation')
       }
     }
   }
@@ -330,7 +336,7 @@
       worker: session.identity?.id,
       runs: runLabels.describeRuns(unknown),
     })
-    session.stop(unknown)
+    stops.stop(session, unknown, 'not assigned')
   }
 
   /**
@@ -491,18 +497,22 @@
     session: sessions.WorkerSession,
     load: workflowState.WorkerLoad,
   ): readonly MovableRun[] => {
-    const stops: TaskRun[] = []
+    const obsolete: TaskRun[] = []
+    const leaving: TaskRun[] = []
+    const stalled: TaskRun[] = []
     const movable: MovableRun[] = []
     for (const active of load.runs.values()) {
       const run = runOf(active)
-      const isObsolete = active.step.job.phase !== 'active'
-      if (isObsolete || shouldLeaveDraining(session, active) || isStalled(session, active)) {
-        stops.push(run)
-      } else if (active.step.spec.filling && pacing.mayMove(active, run)) {
+      if (active.step.job.phase !== 'active') obsolete.push(run)
+      else if (shouldLeaveDraining(session, active)) leaving.push(run)
+      else if (isStalled(session, active)) stalled.push(run)
+      else if (active.step.spec.filling && pacing.mayMove(active, run)) {
         movable.push({ active, run, session })
       }
     }
-    session.stop(stops)
+    stops.stop(session, obsolete, 'job ended')
+    stops.stop(session, leaving, 'worker drains')
+    stops.stop(session, stalled, 'stalled')
     return movable
   }
 
@@ -515,7 +525,7 @@
     const unconfirmed = [...load.runs.values()]
       .map(runOf)
       .filter((run) => !session.running.has(workflowState.runKey(run)))
-    session.stop(unconfirmed)
+    stops.stop(session, unconfirmed, 'start withdrawn')
   }
 
   const sweep = (): void => {
@@ -542,7 +552,8 @@
       const lastListedMs = Math.max(listedMs.get(key) ?? listeningSinceMs, listeningSinceMs)
       if (now - lastListedMs > timing.workerLostMs) {
         declareLost(load, `no run list for ${Math.round(now - lastListedMs)} ms`)
-        sessionOf(key)?.stop([...load.runs.values()].map(runOf))
+        const lost = sessionOf(key)
+        if (lost !== undefined) stops.stop(lost, [...load.runs.values()].map(runOf), 'worker lost')
         continue
       }
       const session = sessionOf(key)
@@ -551,7 +562,7 @@
       withdrawEvacuated(session, load)
     }
     for (const { session, run } of pacing.chooseMoves(movable, workers.length, workerSearch)) {
-      session.stop([run])
+      stops.stop(session, [run], 'moved')
     }
     stopRunsOfOldIncarnations()
     rounds.dispatch()
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -42,8 +42,10 @@
   readonly start: (orders: readonly protocol.workflow.StartOrder[]) => void
   /** Orders the pace of runs, the share of full speed that best-effort tasks may use. */
   readonly pace: (orders: readonly protocol.workflow.PaceOrder[]) => void
-  /** Orders runs to stop, except those that were ordered to stop within `STOP_REPEAT_MS`. */
-  readonly stop: (runs: readonly protocol.workflow.TaskRun[]) => void
+  /** Orders runs to stop, except those that were ordered to stop within `STOP_REPEAT_MS`; returns the ordered ones. */
+  readonly stop: (
+    runs: readonly protocol.workflow.TaskRun[],
+  ) => readonly protocol.workflow.TaskRun[]
   readonly end: () => void
 }
 
@@ -110,9 +112,10 @@
       const before = stoppedMs.get(workflowState.runKey(run))
       return before === undefined || now - before >= STOP_REPEAT_MS
     })
-    if (due.length === 0) return
+    if (due.length === 0) return due
     for (const run of due) stoppedMs.set(workflowState.runKey(run), now)
     send({ stops: due })
+    return due
   }
 
   return {
