fix(workflow-control): a start order in an evacuated domain is withdrawn, not its run stopped

Cause: the leader stopped every run that the session's newest list did not show. A new session has no list, and a list may be older than the start. Change: the leader withdraws the start order; the agent asks the worker for a list, lets a run go on that it shows, and bars and rejects any other. Orders repeated at an attach do the same. The test 'withdraws an unconfirmed order when its failure domain is evacuated' now expects the withdrawal and, beyond before, that no stop is sent.

--- a/packages/workflow-agent/__tests__/replicaThread.mjs
+++ b/packages/workflow-agent/__tests__/replicaThread.mjs
@@ -20,6 +20,7 @@
     leading: behaviour.leading,
     worker: undefined,
     paces: [],
+    withdrawals: [],
   })
   if (!behaviour.leading) call.end()
 }
--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -420,3 +420,59 @@
     expect(workflowState.runKey(subject.rejections[0]?.run ?? RUN)).toBe('j.0.0.0#1')
   })
 })
+
+describe('a start order that is withdrawn', () => {
+  const cases: readonly {
+    readonly name: string
+    readonly options: Parameters<typeof createSubject>[0]
+    /** Whether this agent gave the order itself. */
+    readonly isOrderedHere: boolean
+    readonly stops: number
+    readonly rejected: readonly protocol.workflow.RejectionReason[]
+  }[] = [
+    {
+      name: 'guards against a new agent that stops a run at work before its first list',
+      options: { lists: ['running'] },
+      isOrderedHere: false,
+      stops: 0,
+      rejected: [],
+    },
+    {
+      name: 'guards against a stop of a run that started after the latest list',
+      options: { answers: [unanswered], lists: ['running'] },
+      isOrderedHere: true,
+      stops: 0,
+      rejected: [],
+    },
+    {
+      name: 'is barred at the worker and rejected when the worker does not list it',
+      options: { answers: [unanswered], lists: ['absent'] },
+      isOrderedHere: true,
+      stops: 1,
+      rejected: [RejectionReason.ABSENT],
+    },
+    {
+      name: 'is barred after a restart of the agent as well',
+      options: { lists: ['absent'] },
+      isOrderedHere: false,
+      stops: 1,
+      rejected: [RejectionReason.ABSENT],
+    },
+    {
+      name: 'needs no stop once the worker lists its end',
+      options: { lists: ['ended'] },
+      isOrderedHere: false,
+      stops: 0,
+      rejected: [],
+    },
+  ]
+
+  it.each(cases)('$name', async ({ options, isOrderedHere, stops, rejected }) => {
+    const subject = createSubject(options)
+    if (isOrderedHere) subject.start()
+    subject.table.withdrawStart(RUN)
+    await waitUntilQuiet(subject)
+    expect(subject.calls.filter((call) => call === 'stop')).toHaveLength(stops)
+    expect(subject.rejections.map(({ reason }) => reason)).toEqual(rejected)
+  })
+})
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -58,6 +58,8 @@
 export interface RunTable {
   readonly start: (order: protocol.workflow.StartOrder) => void
   readonly stop: (run: TaskRun) => void
+  /** Prevents the start of a run, unless the worker's next list shows it as running. */
+  readonly withdrawStart: (run: TaskRun) => void
   /** Removes runs that a list shows as ended, and marks those that it shows as running. */
   readonly applyList: (list: runners.WorkerList) => void
   /**
@@ -220,6 +222,22 @@
     }
   }
 
+  /** Withdraws a start order once the worker's own list shows that the run is not running; else lets the run go on. */
+  const withdrawUnlessRunning = async (
+    run: TaskRun,
+    entry: RunEntry | undefined,
+  ): Promise<void> => {
+    const list = await options.nextList()
+    if (list === undefined || closed) return
+    if (isListedAsRunning(list, run)) {
+      if (entry !== undefined) Object.assign(entry, { started: true, stopRequested: false })
+      return
+    }
+    if (!isListedAsEnded(list, run))
+      await withdraw(run, RejectionReason.ABSENT, entry !== undefined)
+    entries.delete(workflowState.runKey(run))
+  }
+
   return {
     start: (order) => {
       const { run } = order
@@ -251,6 +269,16 @@
         entries.delete(key)
       })
     },
+    withdrawStart: (run) => {
+      const key = workflowState.runKey(run)
+      const entry = entries.get(key)
+      if (closed || stopping.has(key) || entry?.started === true) return
+      if (entry !== undefined) entry.stopRequested = true
+      stopping.add(key)
+      void withdrawUnlessRunning(run, entry).finally(() => {
+        stopping.delete(key)
+      })
+    },
     applyList: (list) => {
       latestList = list
       for (const { end } of list.ended) {
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -170,6 +170,7 @@
     if (incarnation.acknowledgedEnd >= incarnation.listedEnd) incarnation.listDelay.interrupt()
     for (const order of orders.starts) if (!isBeingRejected(order)) incarnation.table.start(order)
     for (const run of orders.stops) incarnation.table.stop(run)
+    for (const run of orders.withdrawals) incarnation.table.withdrawStart(run)
     for (const { run, percent } of orders.paces) {
       const entry = run && incarnation.table.entryOf(run)
       if (entry !== undefined) entry.orderedPercent = percent
--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -52,6 +52,7 @@
     worker: undefined,
     paces: [],
     unknownService: false,
+    withdrawals: [],
   })
   const sent = new Map<unknown, workerSession.OrderStream>()
   const term = {
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -375,7 +375,8 @@
     const evacuated = { failureDomain: 'rennes', evacuated: true, ticket: undefined }
     harness.apply({ $case: 'evacuation', value: evacuated })
     await harness.pass(200)
-    expect(agent.stops()).toEqual(['j.0.0.1#1'])
+    expect(agent.withdrawals()).toEqual(['j.0.0.1#1'])
+    expect(agent.stops()).toEqual([])
   })
 
   it('stops a stalled run and avoids its worker for the next run', async () => {
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -20,6 +20,8 @@
   /** Start orders that were marked as repeated. */
   readonly repeatedStarts: () => readonly string[]
   readonly stops: () => readonly string[]
+  /** Start orders that were withdrawn. */
+  readonly withdrawals: () => readonly string[]
   /** Sends a report with a new run list; `running` holds run keys such as "j.0.0.0#1". */
   readonly report: (fields?: ReportFields) => void
   /** Sends reports for `forMs` milliseconds with all started runs as running. */
@@ -151,6 +153,7 @@
     const repeatedStarts = () =>
       keysOf(orders.flatMap(({ starts: all }) => all.filter((o) => o.repeated).map((o) => o.run)))
     const stops = () => keysOf(orders.flatMap((order) => order.stops))
+    const withdrawals = () => keysOf(orders.flatMap((order) => order.withdrawals))
     const report: Agent['report'] = (fields = {}) => {
       sequence += 1
       if (fields.stale !== true) sample += 1
@@ -195,6 +198,7 @@
       starts,
       repeatedStarts,
       stops,
+      withdrawals,
       report,
       live: (forMs, fields = {}) => {
         for (let passedMs = 0; passedMs < forMs; passedMs += LIST_MS) {
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -74,6 +74,7 @@
       worker: undefined,
       paces: [],
       unknownService: false,
+      withdrawals: [],
     })
     close()
   }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -248,7 +248,7 @@
     }
     session.start(starts)
     stops.stop(session, ended, 'job ended')
-    stops.stop(session, withdrawn, 'start withdrawn')
+    stops.withdrawStarts(session, withdrawn)
   }
 
   /** Records the runs of an incarnation that has certainly stopped as lost, except runs whose end is being committed. */
@@ -525,7 +525,7 @@
     const unconfirmed = [...load.runs.values()]
       .map(runOf)
       .filter((run) => !session.running.has(workflowState.runKey(run)))
-    stops.stop(session, unconfirmed, 'start withdrawn')
+    stops.withdrawStarts(session, unconfirmed)
   }
 
   const sweep = (): void => {
--- a/packages/workflow-control/src/runStops.ts
+++ b/packages/workflow-control/src/runStops.ts
@@ -22,8 +22,6 @@
   | 'stalled'
   /** The run may work better elsewhere. */
   | 'moved'
-  /** The run was ordered to start where nothing may start any more. */
-  | 'start withdrawn'
 
 export interface RunStops {
   /** Orders runs to stop, except those that were ordered to stop a short time ago. */
@@ -32,21 +30,40 @@
     runs: readonly TaskRun[],
     reason: StopReason,
   ) => void
+  /**
+   * Withdraws the start orders of runs where nothing may start any more. The leader's list may be older than the start, or
+   * missing, so the worker's own next list decides: a run that it shows goes on.
+   */
+  readonly withdrawStarts: (session: sessions.WorkerSession, runs: readonly TaskRun[]) => void
 }
 
 export interface RunStopsOptions {
   readonly logger: telemetry.Logger
 }
 
-export const createRunStops = ({ logger }: RunStopsOptions): RunStops => ({
-  stop: (session, runs, reason) => {
-    const sent = session.stop(runs)
-    if (sent.length === 0) return
-    logger.info('runs ordered to stop', {
-      worker: session.identity?.id,
+export const createRunStops = ({ logger }: RunStopsOptions): RunStops => {
+  const log = (
+    message: string,
+    session: sessions.WorkerSession,
+    runs: readonly TaskRun[],
+    reason?: StopReason,
+  ): void => {
+    if (runs.length === 0) return
+    const worker = session.identity?.id
+    logger.info(message, {
+      worker,
       reason,
-      count: sent.length,
-      runs: runLabels.describeRuns(sent),
+      count: runs.length,
+      runs: runLabels.describeRuns(runs),
     })
-  },
-})
+  }
+
+  return {
+    stop: (session, runs, reason) => {
+      log('runs ordered to stop', session, session.stop(runs), reason)
+    },
+    withdrawStarts: (session, runs) => {
+      log('start orders withdrawn', session, session.withdraw(runs))
+    },
+  }
+}
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -46,6 +46,10 @@
   readonly stop: (
     runs: readonly protocol.workflow.TaskRun[],
   ) => readonly protocol.workflow.TaskRun[]
+  /** Withdraws start orders as `stop` does; the agent lets a run go on that the worker lists as running. */
+  readonly withdraw: (
+    runs: readonly protocol.workflow.TaskRun[],
+  ) => readonly protocol.workflow.TaskRun[]
   readonly end: () => void
 }
 
@@ -59,7 +63,9 @@
   let listedMs: number | undefined
   let running: ReadonlyMap<string, protocol.workflow.RunningTask> = new Map()
   let acknowledgedEnd = 0
+  /** Times of the latest stop orders and withdrawals by run key. */
   let stoppedMs = new Map<string, number>()
+  let withdrawnMs = new Map<string, number>()
 
   const send = (orders: Partial<protocol.workflow.WorkerOrders>): void => {
     stream.send({
@@ -73,6 +79,7 @@
       leading: true,
       worker: worker?.identity,
       paces: [],
+      withdrawals: [],
       unknownService: worker !== undefined && !options.isKnownService(worker.service),
       ...orders,
     })
@@ -87,6 +94,7 @@
     running = new Map()
     acknowledgedEnd = 0
     stoppedMs = new Map()
+    withdrawnMs = new Map()
   }
 
   const update: WorkerSession['update'] = (report) => {
@@ -106,18 +114,32 @@
     return isFirst ? 'first' : 'new'
   }
 
-  const stop: WorkerSession['stop'] = (runs) => {
+  /** Runs that were not ordered within `STOP_REPEAT_MS`; they count as ordered now. */
+  const takeDue = (
+    runs: readonly protocol.workflow.TaskRun[],
+    orderedMs: Map<string, number>,
+  ): readonly protocol.workflow.TaskRun[] => {
     const now = nowMs()
     const due = runs.filter((run) => {
-      const before = stoppedMs.get(workflowState.runKey(run))
+      const before = orderedMs.get(workflowState.runKey(run))
       return before === undefined || now - before >= STOP_REPEAT_MS
     })
-    if (due.length === 0) return due
-    for (const run of due) stoppedMs.set(workflowState.runKey(run), now)
-    send({ stops: due })
+    for (const run of due) orderedMs.set(workflowState.runKey(run), now)
     return due
   }
 
+  const stop: WorkerSession['stop'] = (runs) => {
+    const stops = takeDue(runs, stoppedMs)
+    if (stops.length > 0) send({ stops })
+    return stops
+  }
+
+  const withdraw: WorkerSession['withdraw'] = (runs) => {
+    const withdrawals = takeDue(runs, withdrawnMs)
+    if (withdrawals.length > 0) send({ withdrawals })
+    return withdrawals
+  }
+
   return {
     agent,
     get worker() {
@@ -159,6 +181,7 @@
       if (paces.length > 0) send({ paces })
     },
     stop,
+    withdraw,
     end: () => {
       stream.end()
     },
