fix(workflow-agent): a repeated start order does not stop a run that the worker lists

What callers would see: a task at work is stopped when its agent attaches again while its worker answers 503, is out of room, or the stream is lost in that moment. Cause: a repeated order may have been carried out by an earlier agent process, so a refusal of it ends in a stop; the agent did not look whether the run was listed. Change: a repeated order for a run in the worker's latest list is taken as carried out.

--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -476,3 +476,18 @@
     expect(subject.rejections.map(({ reason }) => reason)).toEqual(rejected)
   })
 })
+
+describe('a repeated order for a run that the worker lists as running', () => {
+  it.each([
+    { name: 'while nothing may start here', options: { mayStart: () => false } },
+    { name: 'by an unhealthy worker', options: { answers: [refused('unavailable')] } },
+    { name: 'for lack of room', options: { answers: [refused('no-room')] } },
+  ])('guards against a refusal $name that stops the run', async ({ options }) => {
+    const subject = createSubject({ ...options, repeated: true })
+    subject.note('running')
+    subject.start()
+    await waitUntilQuiet(subject)
+    expect(subject.calls).toEqual([])
+    expect(subject.rejections).toEqual([])
+  })
+})
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -164,6 +164,12 @@
     }
     for (;;) {
       if (closed || entry.started || entry.stopRequested || isDropped()) return
+      // An earlier agent process started it; a refusal of the repeated order would stop a run at work.
+      if (latestList !== undefined && isListedAsRunning(latestList, run)) {
+        entry.started = true
+        options.onStarted(entry)
+        return
+      }
       if (!options.mayStart()) {
         await refuse(RejectionReason.UNAVAILABLE)
         return
