feat(workflow-control): stops that the leader chooses respect the limit of tasks away

Change: the optional stops (moved, stalled) ask a disruption budget in one place. The stops that keep a run from running twice, that end a job, or that precede the end of a draining worker do not ask.

--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -8,6 +8,7 @@
 import * as assignmentRounds from './assignmentRounds.js'
 import * as clocks from './clock.js'
 import type * as context from './context.js'
+import * as disruptionBudgets from './disruptionBudget.js'
 import * as endProcessors from './endProcessor.js'
 import * as endMonitors from './endMonitor.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
@@ -80,15 +81,6 @@
   readonly stop: () => void
 }
 
-/** Identity of an active run of the state machine, including its run number. */
-const runOf = ({ step, task }: workflowState.ActiveRun): TaskRun => ({
-  job: step.job.spec.id,
-  occurrence: step.occurrence,
-  step: step.index,
-  index: task.index,
-  run: task.run,
-})
-
 /** Key of the attempt that a run is part of: the members of a gang share one. */
 const attemptOf = (run: TaskRun, isGang: boolean): string =>
   workflowState.runKey(isGang ? { ...run, index: 0 } : run)
@@ -121,7 +113,6 @@
   const durations = policies.createDurations()
   const progress = runProgress.createRunProgress(durations)
   const disturbance = policies.createInterferenceModel()
-  const stops = runStops.createRunStops({ logger })
   const endCommits = pendingEndCommits.createPendingEndCommits()
   const proposeBatched = proposalBatch.createProposalBatch(ctx)
   const accounting = bestEffortAccounting.createBestEffortAccounting({
@@ -139,6 +130,12 @@
     return { step, task }
   }
 
+  const budget = disruptionBudgets.createDisruptionBudget({
+    nowMs,
+    sessionOf: (key) => byWorker.get(key),
+  })
+  const stops = runStops.createRunStops({ logger, budget, activeRun })
+
   const isGang = ({ job, occurrence, step }: TaskRun): boolean =>
     view.jobs.get(job)?.occurrences.get(occurrence)?.steps[step]?.spec.gang ?? false
 
@@ -156,6 +153,7 @@
     const now = nowMs()
     const observed = progress.remove(run, kind !== EndKind.COMPLETED && checkpointOf(run) !== '')
     pacing.forget(workflowState.runKey(run))
+    budget.forget(run)
     const wasStalled = stalledRuns.delete(workflowState.runKey(run))
     if (kind === EndKind.COMPLETED) {
       const step = activeRun(run)?.step
@@ -217,7 +215,7 @@
     active: workflowState.ActiveRun,
     repeated: boolean,
   ): protocol.workflow.StartOrder => ({
-    run: runOf(active),
+    run: disruptionBudgets.runOf(active),
     command: active.step.job.spec.command,
     checkpoint: active.task.checkpoint,
     tailTargetMs: active.step.spec.tailTargetMs,
@@ -238,7 +236,7 @@
     const withdrawn: TaskRun[] = []
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
-      const run = runOf(active)
+      const run = disruptionBudgets.runOf(active)
       if (endCommits.has(run) || endProcessor.hasOpenEnd(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
@@ -256,7 +254,7 @@
     const key = workflowState.workerKey(load.identity)
     if (pendingLostWorkers.has(key)) return
     const runs = [...load.runs.values()]
-      .map(runOf)
+      .map(disruptionBudgets.runOf)
       .filter((run) => !endProcessor.retryOpenEnds(load.identity, run))
     if (runs.length === 0) return
     pendingLostWorkers.add(key)
@@ -293,7 +291,7 @@
     if (identity === undefined) return
     for (const { identity: held, runs } of view.loads.values()) {
       if (held.id === identity.id && held.bornMs < identity.bornMs) {
-        stops.stop(session, [...runs.values()].map(runOf), 'earlier incarnation')
+        stops.stop(session, [...runs.values()].map(disruptionBudgets.runOf), 'earlier incarnation')
       }
     }
   }
@@ -309,7 +307,7 @@
       for (const session of byWorkerId.get(held.id) ?? []) {
         const bornMs = session.identity?.bornMs ?? held.bornMs
         if (held.bornMs >= bornMs) continue
-        stops.stop(session, [...runs.values()].map(runOf), 'earlier incarnation')
+        stops.stop(session, [...runs.values()].map(disruptionBudgets.runOf), 'earlier incarnation')
       }
     }
   }
@@ -468,7 +466,7 @@
     if (!session.draining) return false
     const { spec } = active.step
     if (spec.lasting || spec.checkpointing) return true
-    const last = progress.get(runOf(active))
+    const last = progress.get(disruptionBudgets.runOf(active))
     const remaining = durations.expect(active.step) * (1 - (last?.percent ?? 0) / 100)
     return remaining > session.drainRemainingMs
   }
@@ -476,11 +474,11 @@
   const isStalled = (session: sessions.WorkerSession, active: workflowState.ActiveRun): boolean => {
     const { spec } = active.step
     if (spec.filling || spec.lasting || spec.gang) return false
-    const last = progress.get(runOf(active))
+    const last = progress.get(disruptionBudgets.runOf(active))
     // Without a recent list, missing progress says nothing about the run.
     if (last === undefined || session.listedMs === undefined) return false
     if (!scheduling.isStalled(last, durations.expect(active.step), session.listedMs)) return false
-    stalledRuns.add(workflowState.runKey(runOf(active)))
+    stalledRuns.add(workflowState.runKey(disruptionBudgets.runOf(active)))
     return true
   }
 
@@ -502,7 +500,7 @@
     const stalled: TaskRun[] = []
     const movable: MovableRun[] = []
     for (const active of load.runs.values()) {
-      const run = runOf(active)
+      const run = disruptionBudgets.runOf(active)
       if (active.step.job.phase !== 'active') obsolete.push(run)
       else if (shouldLeaveDraining(session, active)) leaving.push(run)
       else if (isStalled(session, active)) stalled.push(run)
@@ -523,7 +521,7 @@
   ): void => {
     if (!view.evacuated.has(session.worker?.failureDomain ?? '')) return
     const unconfirmed = [...load.runs.values()]
-      .map(runOf)
+      .map(disruptionBudgets.runOf)
       .filter((run) => !session.running.has(workflowState.runKey(run)))
     stops.withdrawStarts(session, unconfirmed)
   }
@@ -553,7 +551,8 @@
       if (now - lastListedMs > timing.workerLostMs) {
         declareLost(load, `no run list for ${Math.round(now - lastListedMs)} ms`)
         const lost = sessionOf(key)
-        if (lost !== undefined) stops.stop(lost, [...load.runs.values()].map(runOf), 'worker lost')
+        if (lost !== undefined)
+          stops.stop(lost, [...load.runs.values()].map(disruptionBudgets.runOf), 'worker lost')
         continue
       }
       const session = sessionOf(key)
--- a/packages/workflow-control/src/runStops.ts
+++ b/packages/workflow-control/src/runStops.ts
@@ -1,6 +1,8 @@
 /** Orders of the leader that stop runs; all of them go through here. */
 import type * as protocol from '@ebonyweir/protocol'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
+import type * as workflowState from '@ebonyweir/workflow-state'
+import type * as disruptionBudgets from './disruptionBudget.js'
 import * as runLabels from './runLabels.js'
 import type * as sessions from './workerSession.js'
 
@@ -23,8 +25,14 @@
   /** The run may work better elsewhere. */
   | 'moved'
 
+/** Reasons for which the leader chooses to stop a run that could go on; the other stops are not optional. */
+const OPTIONAL_REASONS: ReadonlySet<StopReason> = new Set(['stalled', 'moved'])
+
 export interface RunStops {
-  /** Orders runs to stop, except those that were ordered to stop a short time ago. */
+  /**
+   * Orders runs to stop, except those that were ordered to stop a short time ago. An optional stop that exceeds the
+   * disruption budget of its step is put off until it is asked for again.
+   */
   readonly stop: (
     session: sessions.WorkerSession,
     runs: readonly TaskRun[],
@@ -39,9 +47,12 @@
 
 export interface RunStopsOptions {
   readonly logger: telemetry.Logger
+  readonly budget: Pick<disruptionBudgets.DisruptionBudget, 'admit'>
+  /** The active run with this number, if it is still active. */
+  readonly activeRun: (run: TaskRun) => workflowState.ActiveRun | undefined
 }
 
-export const createRunStops = ({ logger }: RunStopsOptions): RunStops => {
+export const createRunStops = ({ logger, budget, activeRun }: RunStopsOptions): RunStops => {
   const log = (
     message: string,
     session: sessions.WorkerSession,
@@ -58,9 +69,15 @@
     })
   }
 
+  const isAdmitted = (run: TaskRun): boolean => {
+    const active = activeRun(run)
+    return active !== undefined && budget.admit(active)
+  }
+
   return {
     stop: (session, runs, reason) => {
-      log('runs ordered to stop', session, session.stop(runs), reason)
+      const admitted = OPTIONAL_REASONS.has(reason) ? runs.filter(isAdmitted) : runs
+      log('runs ordered to stop', session, session.stop(admitted), reason)
     },
     withdrawStarts: (session, runs) => {
       log('start orders withdrawn', session, session.withdraw(runs))
