refactor(workflow-agent): paces of best-effort runs in a file of their own

Change: bestEffortPaces.ts holds the paces and their alarm of one incarnation; runOf stands beside the other identities of runs. No behaviour changes.

--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -2,11 +2,11 @@
 import * as timers from 'node:timers/promises'
 import type * as protocol from '@ebonyweir/protocol'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
-import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as announcements from './announcement.js'
 import * as announcementSeries from './announcementSeries.js'
 import type * as attachTraces from './attachTrace.js'
+import * as bestEffortPaces from './bestEffortPaces.js'
 import * as incarnationProbes from './incarnationProbe.js'
 import * as leaderStreams from './leaderStream.js'
 import * as interruptibleDelays from './interruptibleDelay.js'
@@ -28,13 +28,6 @@
 /** Longest time between two reports while the worker does not answer. */
 const REPORT_INTERVAL_MS = 400
 
-/**
- * Time after an unanswered call for a pace in which the pace is set again with each list: the worker may carry out such a
- * call seconds later, after newer ones. That delay has no known bound; the delay of a start is bounded by its lease of up
- * to 10 s.
- */
-const PACE_REPEAT_MS = 10_000
-
 /** Lists of an earlier incarnation in a row after which an announcement is not followed any more. */
 const MAX_EARLIER_LISTS = 3
 
@@ -71,6 +64,7 @@
   readonly series: announcementSeries.AnnouncementSeries
   announcement: announcements.OwnAnnouncement
   readonly table: runTables.RunTable
+  readonly paces: bestEffortPaces.BestEffortPaces
   leaseUntilMs: number
   acknowledgedEnd: number
   /** Highest number of an end in the latest list. */
@@ -83,7 +77,6 @@
   sample: number
   /** Lists in a row that came from an earlier incarnation than this one. */
   earlierLists: number
-  alarm: scheduling.Alarm
   ended: boolean
   readonly listWaiters: ((list: runners.WorkerList | undefined) => void)[]
   /** Waiters whose list call is in progress. */
@@ -175,8 +168,9 @@
       const entry = run && incarnation.table.entryOf(run)
       if (entry !== undefined) entry.orderedPercent = percent
     }
-    if (orders.paces.length > 0 && incarnation.list !== undefined)
-      void applyPaces(incarnation, incarnation.list)
+    if (orders.paces.length > 0 && incarnation.list !== undefined) {
+      void incarnation.paces.apply(incarnation.list)
+    }
   }
 
   const stream = leaderStreams.createLeaderStream({
@@ -192,41 +186,6 @@
     },
   })
 
-  const setPace = async (current: WorkerIncarnation, entry: runTables.RunEntry): Promise<void> => {
-    const percent = current.alarm.raised ? 0 : entry.orderedPercent
-    const isPaceCertain = entry.isPaceKnown && nowMs() >= entry.paceCertainAtMs
-    if (!entry.order.filling || (isPaceCertain && percent === entry.pacePercent)) return
-    const { identity } = current.announcement.worker
-    const answer = await runner.pace(identity, entry.run, percent, fence ?? 0)
-    if (answer === 'unanswered') entry.paceCertainAtMs = nowMs() + PACE_REPEAT_MS
-    if (answer !== 'done') return
-    entry.pacePercent = percent
-    entry.isPaceKnown = true
-  }
-
-  /** Applies the ordered paces; pauses all best-effort tasks while a latency target is missed for long. */
-  const applyPaces = async (
-    current: WorkerIncarnation,
-    list: runners.WorkerList,
-  ): Promise<void> => {
-    // Latencies of latency-critical tasks; the name is that of the logged field.
-    const serving: { readonly tailMs: number; readonly targetMs: number }[] = []
-    const bestEffortRuns: runTables.RunEntry[] = []
-    for (const { run, figure } of list.running) {
-      const entry = run && current.table.entryOf(run)
-      if (entry === undefined) continue
-      const { tailTargetMs, filling } = entry.order
-      if (tailTargetMs > 0) serving.push({ tailMs: figure, targetMs: tailTargetMs })
-      else if (filling) bestEffortRuns.push(entry)
-    }
-    const alarm = scheduling.nextAlarm(current.alarm, serving, nowMs())
-    if (alarm.raised !== current.alarm.raised) {
-      logger.info('fillers paused by alarm', { raised: alarm.raised, serving })
-    }
-    current.alarm = alarm
-    await Promise.all(bestEffortRuns.map((entry) => setPace(current, entry)))
-  }
-
   /**
    * Handles a list of an earlier incarnation than the announced one. One such list may have been under way during a restart;
    * several in a row show that the announcement came from another writer.
@@ -259,7 +218,7 @@
     current.sample += 1
     current.table.applyList(list)
     for (const waiter of current.inProgressWaiters.splice(0)) waiter(list)
-    void applyPaces(current, list)
+    void current.paces.apply(list)
     report()
   }
 
@@ -359,7 +318,7 @@
         report()
       },
       onStarted: (entry) => {
-        void setPace(newIncarnation, entry)
+        void newIncarnation.paces.set(entry)
       },
       onFenced: () => {
         stream.restart('the worker has seen a higher fence')
@@ -372,6 +331,14 @@
       ),
       announcement,
       table,
+      paces: bestEffortPaces.createBestEffortPaces({
+        identity,
+        runner,
+        logger,
+        nowMs,
+        fence: () => fence ?? 0,
+        entryOf: table.entryOf,
+      }),
       leaseUntilMs: 0,
       acknowledgedEnd: 0,
       listedEnd: 0,
@@ -380,7 +347,6 @@
       isResponsive: false,
       sample: 0,
       earlierLists: 0,
-      alarm: scheduling.NO_ALARM,
       ended: false,
       listWaiters: [],
       inProgressWaiters: [],
--- a/packages/workflow-control/src/disruptionBudget.ts
+++ b/packages/workflow-control/src/disruptionBudget.ts
@@ -4,6 +4,7 @@
  */
 import type * as protocol from '@ebonyweir/protocol'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as runLabels from './runLabels.js'
 import type * as sessions from './workerSession.js'
 
 /** Age from which a list does not show any more that a task is at work, in milliseconds: two lists were missed. */
@@ -24,15 +25,6 @@
   readonly forget: (run: protocol.workflow.TaskRun) => void
 }
 
-/** Identity of an active run, including its run number. */
-export const runOf = ({ step, task }: workflowState.ActiveRun): protocol.workflow.TaskRun => ({
-  job: step.job.spec.id,
-  occurrence: step.occurrence,
-  step: step.index,
-  index: task.index,
-  run: task.run,
-})
-
 export const createDisruptionBudget = (options: DisruptionBudgetOptions): DisruptionBudget => {
   /** Keys of the runs that were admitted and have not ended. */
   const admitted = new Set<string>()
@@ -41,7 +33,7 @@
   const isAtWork = (active: workflowState.ActiveRun): boolean => {
     const { phase, worker } = active.task
     if (phase !== 'assigned' || worker === undefined) return false
-    const key = workflowState.runKey(runOf(active))
+    const key = workflowState.runKey(runLabels.runOf(active))
     const session = options.sessionOf(workflowState.workerKey(worker))
     if (session?.listedMs === undefined || session.draining || admitted.has(key)) return false
     if (options.nowMs() - session.listedMs > MAX_EVIDENCE_AGE_MS) return false
@@ -55,7 +47,7 @@
       if (maxAway === 0) return true
       const away = step.tasks.filter((other) => other !== task && !isAtWork({ step, task: other }))
       if (away.length >= maxAway) return false
-      admitted.add(workflowState.runKey(runOf(active)))
+      admitted.add(workflowState.runKey(runLabels.runOf(active)))
       return true
     },
     forget: (run) => {
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -215,7 +215,7 @@
     active: workflowState.ActiveRun,
     repeated: boolean,
   ): protocol.workflow.StartOrder => ({
-    run: disruptionBudgets.runOf(active),
+    run: runLabels.runOf(active),
     command: active.step.job.spec.command,
     checkpoint: active.task.checkpoint,
     tailTargetMs: active.step.spec.tailTargetMs,
@@ -236,7 +236,7 @@
     const withdrawn: TaskRun[] = []
     const domain = session.worker?.failureDomain ?? ''
     for (const active of load.runs.values()) {
-      const run = disruptionBudgets.runOf(active)
+      const run = runLabels.runOf(active)
       if (endCommits.has(run) || endProcessor.hasOpenEnd(run)) continue
       const isRunning = session.running.has(workflowState.runKey(run))
       const mayStart = !view.evacuated.has(domain) && !session.draining
@@ -254,7 +254,7 @@
     const key = workflowState.workerKey(load.identity)
     if (pendingLostWorkers.has(key)) return
     const runs = [...load.runs.values()]
-      .map(disruptionBudgets.runOf)
+      .map(runLabels.runOf)
       .filter((run) => !endProcessor.retryOpenEnds(load.identity, run))
     if (runs.length === 0) return
     pendingLostWorkers.add(key)
@@ -291,7 +291,7 @@
     if (identity === undefined) return
     for (const { identity: held, runs } of view.loads.values()) {
       if (held.id === identity.id && held.bornMs < identity.bornMs) {
-        stops.stop(session, [...runs.values()].map(disruptionBudgets.runOf), 'earlier incarnation')
+        stops.stop(session, [...runs.values()].map(runLabels.runOf), 'earlier incarnation')
       }
     }
   }
@@ -307,7 +307,7 @@
       for (const session of byWorkerId.get(held.id) ?? []) {
         const bornMs = session.identity?.bornMs ?? held.bornMs
         if (held.bornMs >= bornMs) continue
-        stops.stop(session, [...runs.values()].map(disruptionBudgets.runOf), 'earlier incarnation')
+        stops.stop(session, [...runs.values()].map(runLabels.runOf), 'earlier incarnation')
       }
     }
   }
@@ -466,7 +466,7 @@
     if (!session.draining) return false
     const { spec } = active.step
     if (spec.lasting || spec.checkpointing) return true
-    const last = progress.get(disruptionBudgets.runOf(active))
+    const last = progress.get(runLabels.runOf(active))
     const remaining = durations.expect(active.step) * (1 - (last?.percent ?? 0) / 100)
     return remaining > session.drainRemainingMs
   }
@@ -474,11 +474,11 @@
   const isStalled = (session: sessions.WorkerSession, active: workflowState.ActiveRun): boolean => {
     const { spec } = active.step
     if (spec.filling || spec.lasting || spec.gang) return false
-    const last = progress.get(disruptionBudgets.runOf(active))
+    const last = progress.get(runLabels.runOf(active))
     // Without a recent list, missing progress says nothing about the run.
     if (last === undefined || session.listedMs === undefined) return false
     if (!scheduling.isStalled(last, durations.expect(active.step), session.listedMs)) return false
-    stalledRuns.add(workflowState.runKey(disruptionBudgets.runOf(active)))
+    stalledRuns.add(workflowState.runKey(runLabels.runOf(active)))
     return true
   }
 
@@ -500,7 +500,7 @@
     const stalled: TaskRun[] = []
     const movable: MovableRun[] = []
     for (const active of load.runs.values()) {
-      const run = disruptionBudgets.runOf(active)
+      const run = runLabels.runOf(active)
       if (active.step.job.phase !== 'active') obsolete.push(run)
       else if (shouldLeaveDraining(session, active)) leaving.push(run)
       else if (isStalled(session, active)) stalled.push(run)
@@ -521,7 +521,7 @@
   ): void => {
     if (!view.evacuated.has(session.worker?.failureDomain ?? '')) return
     const unconfirmed = [...load.runs.values()]
-      .map(disruptionBudgets.runOf)
+      .map(runLabels.runOf)
       .filter((run) => !session.running.has(workflowState.runKey(run)))
     stops.withdrawStarts(session, unconfirmed)
   }
@@ -552,7 +552,7 @@
         declareLost(load, `no run list for ${Math.round(now - lastListedMs)} ms`)
         const lost = sessionOf(key)
         if (lost !== undefined)
-          stops.stop(lost, [...load.runs.values()].map(disruptionBudgets.runOf), 'worker lost')
+          stops.stop(lost, [...load.runs.values()].map(runLabels.runOf), 'worker lost')
         continue
       }
       const session = sessionOf(key)
--- a/packages/workflow-control/src/runLabels.ts
+++ b/packages/workflow-control/src/runLabels.ts
@@ -1,4 +1,4 @@
-/** Labels of runs in log lines. */
+/** Identities of runs, and their labels in log lines. */
 import type * as protocol from '@ebonyweir/protocol'
 import * as workflowState from '@ebonyweir/workflow-state'
 
@@ -10,3 +10,12 @@
   runs: readonly (protocol.workflow.TaskRun | undefined)[],
 ): readonly string[] =>
   runs.slice(0, MAX_LOGGED_RUNS).map((run) => (run ? workflowState.runKey(run) : ''))
+
+/** Identity of an active run of the state machine, including its run number. */
+export const runOf = ({ step, task }: workflowState.ActiveRun): protocol.workflow.TaskRun => ({
+  job: step.job.spec.id,
+  occurrence: step.occurrence,
+  step: step.index,
+  index: task.index,
+  run: task.run,
+})
