fix(workflow-agent): a restarted worker gets runs before it announces itself again

What callers would see: after a restart under the same id a runner got no new work until its next heartbeat, up to 1.5 s, though its lists showed the new life; before it got work at once. Cause: took the service away from every life that a list showed first, also where the worker had confirmed the description before. Change: a new life keeps a confirmed description until it announces itself; only the description of an announcement that the worker contradicts is not used. Result: announcements.spec 'guards against a restarted worker that gets no runs until it announces itself again' fails on (the service is empty) and passes now.

--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -358,13 +358,21 @@
   }
 
   /**
-   * Replaces an incarnation after a list showed another start time than the announcement. The new life may be of another
-   * kind, so it has no service, and gets no new runs, until it announces itself.
+   * Replaces an incarnation after a list showed another start time than the announcement. The new life keeps the
+   * description of one that the worker confirmed until it announces itself. The description of an announcement that it
+   * contradicts may be another writer's, so it then has no service and gets no new runs.
    */
-  const replaceIncarnation = ({ announcement }: WorkerIncarnation, bornMs: number): void => {
-    const identity = { ...announcement.worker.identity, bornMs }
+  const replaceIncarnation = (
+    { announcement, sample }: WorkerIncarnation,
+    bornMs: number,
+  ): void => {
+    const { worker } = announcement
     const unannounced = {
-      worker: { ...announcement.worker, identity, service: '' },
+      worker: {
+        ...worker,
+        identity: { ...worker.identity, bornMs },
+        service: sample > 0 ? worker.service : '',
+      },
       sequence: 0,
       draining: false,
       drainRemainingMs: 0,
