--- a/review/stand-ins-2/system.mjs
+++ b/review/stand-ins-2/system.mjs
@@ -225,6 +225,7 @@
     names,
     workers,
     controls,
+    agentAddresses: names.agents.map((_, index) => `${ipOf(11 + index)}:${controlPort}`),
     start,
     signal,
     operate,
