--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -2,9 +2,9 @@
 import * as path from 'node:path'
 import { performance } from 'node:perf_hooks'
 import * as url from 'node:url'
-import * as calls from '../stand-ins-2/http.mjs'
-import * as records from '../stand-ins-2/record.mjs'
-import * as systems from '../stand-ins-2/system.mjs'
+import * as calls from './lib/http.mjs'
+import * as records from './lib/record.mjs'
+import * as systems from './lib/system.mjs'
 
 const FOLDER = path.dirname(url.fileURLToPath(import.meta.url))
 const RUNNER = { capacity: { Cpu: 16_000, MemMb: 62_500, Gpu: 0 }, labels: ['a', 'r1-1'] }
