fix(platform): each call to the worker ends by its own deadline, the wait for a connection included

Cause: calls shared one connection pool whose queue ends no wait. A call that was refused before it was sent kept its connection for good (the pool counts a client whose dispatch returns false as busy until it drains), and the time limit of a call had no effect while it waited for one. Each probe of the odd id cost a connection, ten of them all, and the list call waited for ever. Ways weighed: a longer list of checked ids alone (leaves the wait without a limit), an abort of queued calls through the pool (the library looks at the signal only once a connection is there), the replacement of the whole pool when a call is late (breaks sound calls), and connections of our own for one call each.

A call that was not sent is a result of its own: it needs no stop before its run is rejected, and an order whose deadline passed is never sent, even after a pause of the process.

--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -15,6 +15,7 @@
 
 const started: Answer = { kind: 'started' }
 const unanswered: Answer = { kind: 'unanswered' }
+const notSent: Answer = { kind: 'not-sent' }
 const refused = (reason: runners.StartRefusal): Answer => ({ kind: 'refused', reason })
 
 /** Table with a worker whose answers are preset; the last one is repeated. */
@@ -137,6 +138,18 @@
       calls: ['start until 6000', 'start until 6000'],
       rejected: [],
     },
+    {
+      name: 'guards against a stop of a run that cannot start: the order that failed was never sent',
+      options: { answers: [notSent, refused('no-room')] },
+      calls: ['start until 6000', 'start until 6000'],
+      rejected: [RejectionReason.NO_ROOM],
+    },
+    {
+      name: 'guards against a late start of the one copy that was sent',
+      options: { answers: [unanswered, notSent, refused('no-room')] },
+      calls: ['start until 6000', 'start until 6000', 'start until 6000', 'stop'],
+      rejected: [RejectionReason.NO_ROOM],
+    },
     {
       name: 'is rejected at once when the outcome is certain',
       options: { answers: [refused('no-room')] },
--- a/packages/workflow-agent/src/incarnationProbe.ts
+++ b/packages/workflow-agent/src/incarnationProbe.ts
@@ -89,6 +89,7 @@
         acknowledgedEnd: 0,
         leaseUntilMs: undefined,
         waitMs: 0,
+        isProbe: true,
       })
       if (!isOpen(key, candidate)) return
       handleAnswer(key, candidate, answer)
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -193,8 +193,9 @@
         options.onStarted(entry)
         return
       }
-      if (answer.kind === 'unanswered') {
-        isOutcomeUncertain = true
+      if (answer.kind !== 'refused') {
+        if (answer.kind === 'unanswered') isOutcomeUncertain = true
+        // Either way the worker may have started again since.
         isUnanswered = true
         await timers.setTimeout(RETRY_DELAY_MS)
         continue
--- a/packages/workflow-agent/src/runner.ts
+++ b/packages/workflow-agent/src/runner.ts
@@ -28,13 +28,15 @@
   | 'invalid'
   | 'other-incarnation'
 
-/** Result of a start order; an unanswered one may have been carried out, or may still be. */
+/**
+ * Result of a start order. An unanswered one may have been carried out, or may still be; one that was not sent never will.
+ */
 export type StartAnswer =
   | { readonly kind: 'started' }
   | { readonly kind: 'refused'; readonly reason: StartRefusal }
-  | { readonly kind: 'unanswered' }
+  | { readonly kind: 'unanswered' | 'not-sent' }
 
-export type OrderAnswer = 'done' | 'fence' | 'other-incarnation' | 'unanswered'
+export type OrderAnswer = 'done' | 'fence' | 'other-incarnation' | 'unanswered' | 'not-sent'
 
 /** Active runs of a worker, and its ends that are not acknowledged yet. */
 export interface WorkerList {
@@ -46,7 +48,7 @@
 
 export type ListAnswer =
   | { readonly kind: 'list'; readonly list: WorkerList }
-  | { readonly kind: 'fence' | 'other-incarnation' | 'unanswered' }
+  | { readonly kind: 'fence' | 'other-incarnation' | 'unanswered' | 'not-sent' }
 
 export interface ListRequest {
   readonly fence: number
@@ -56,9 +58,11 @@
   readonly leaseUntilMs: number | undefined
   /** Time for which the worker may wait for an end before it answers (long poll), in milliseconds. */
   readonly waitMs: number
+  /** Whether the call only asks which incarnation runs; such a call never delays that of the followed one. @default false */
+  readonly isProbe?: boolean
 }
 
-/** Calls to the worker; one without an answer within the adapter's timeout resolves as unanswered. */
+/** Calls to the worker; each ends by the adapter's own time limit, which includes the wait for a connection. */
 export interface Runner {
   readonly start: (worker: WorkerIdentity, order: RunnerStart) => Promise<StartAnswer>
   readonly stop: (worker: WorkerIdentity, run: TaskRun, fence: number) => Promise<OrderAnswer>
