--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -443,6 +443,7 @@
   return {
     announce,
     leave: (workerId) => {
+      if (incarnation?.announcement.worker.identity.id !== workerId) return
       logger.info('worker left', { worker: workerId })
     },
     isAttached: () => stream.isAttached(),
