feat(workflow-agent): a start order without an answer is logged with its fencing token

A late start showed only at the worker. The line names the run and the token of each copy that may still be carried out, so that a second start can be told from one of a later order.

--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -194,7 +194,10 @@
         return
       }
       if (answer.kind !== 'refused') {
-        if (answer.kind === 'unanswered') isOutcomeUncertain = true
+        if (answer.kind === 'unanswered') {
+          isOutcomeUncertain = true
+          logger.info('start order got no answer', { run: key, fence })
+        }
         // Either way the worker may have started again since.
         isUnanswered = true
         await timers.setTimeout(RETRY_DELAY_MS)
