fix(workflow-agent): the fencing token rises with each contact, so a late start order is void in the worker's next life

A start order without an answer was carried out by the next life of its worker, seconds after the agent knew of that life.

Cause: the token of all calls was the leader's term. A worker that starts again under its id has seen no token, and was then called with the one that all older orders of the term carry, so it accepted them. Ways weighed: stops for each run whose order had no answer (to be remembered through restarts of the agent and changes of the leader, without a limit in time), a token from the start time of the life (41 bits, and it can step back), a life's number in the replicated state (a commit before the first call), and a token of term, stream and contact. The last one is taken: a term has one leader process, which numbers each agent's streams, and a new agent process needs a new stream, so nothing is stored and no token is used by two agent processes or for two lives that were told apart.

The first call that reaches a life voids all orders before it, whatever became of their runs; within one life the next list voids a copy without an answer. A refusal of a call that a newer call of the same agent overtook is repeated. Beside a leader that does not number streams the token stays the term's.

--- a/packages/model-check/src/runModel.ts
+++ b/packages/model-check/src/runModel.ts
@@ -23,6 +23,7 @@
   const { budget, hasStreams = false } = scenario
   const guards: runState.RunGuards = {
     ...runState.ALL_GUARDS,
+    raiseToken: scenario.raisesToken ?? false,
     [scenario.protection]: isProtected,
   }
 
@@ -58,24 +59,67 @@
       }),
     )
 
+  const mayReach = (
+    view: workflowState.WorkflowView,
+    worker: Worker,
+    { awaited, run }: runState.RunOrder,
+  ): boolean => {
+    if (scenario.sparesUncalled !== true || worker.called) return true
+    const bornMs = transitions.holderIncarnation(view, worker, run)
+    return awaited && runsHeldBy(view, worker.id, bornMs).some((held) => isSameRun(held, run))
+  }
+
+  /**
+   * The agent follows an incarnation that it did not know: it waits for no order to the one before any more, and raises its
+   * token even if an order was the first to reach the new one.
+   */
+  const followIncarnation = (state: ModelState, worker: Worker): ModelState => {
+    if (!guards.raiseToken) return transitions.call(state, worker)
+    const orders = state.orders.map((order) =>
+      order.workerId === worker.id ? { ...order, awaited: false } : order,
+    )
+    return transitions.call(transitions.raiseToken({ ...state, orders }, worker), worker)
+  }
+
+  /** The agent gets a list; a crash broke the call under way, so it knows that the incarnation may be another one. */
+  const list = (state: ModelState, worker: Worker): ModelState =>
+    worker.called ? transitions.call(state, worker) : followIncarnation(state, worker)
+
+  /** An unanswered order raises the token, and a list is called before the order is sent again. */
+  const repeat = (state: ModelState, worker: Worker): ModelState => {
+    if (!guards.raiseToken) return state
+    const called = transitions.call(transitions.raiseToken(state, worker), worker)
+    const { token } = transitions.agentOf(called, worker)
+    const orders = called.orders.map((order, index) =>
+      index === called.orders.length - 1 ? { ...order, token } : order,
+    )
+    return { ...called, orders }
+  }
+
   const start = (state: ModelState, worker: Worker, order: runState.RunOrder): ModelState => {
     const key = workflowState.taskKey(order.run)
     const isStale = order.lease < worker.lease || (worker.barred[key] ?? 0) >= order.run.run
-    if (isStale || worker.running.some((run) => isSameRun(run, order.run))) return state
+    const isFenced = order.token < worker.token
+    if (isStale || isFenced || worker.running.some((run) => isSameRun(run, order.run))) return state
     const startedAgain = state.acknowledged.includes(key)
       ? [...state.startedAgain, key]
       : state.startedAgain
     const startedCancelled = order.afterCancel
       ? [...state.startedCancelled, key]
       : state.startedCancelled
-    const started = { ...worker, running: [...worker.running, order.run] }
+    const token = Math.max(order.token, worker.token)
+    const started = { ...worker, token, running: [...worker.running, order.run] }
     return { ...replaceWorker(state, started), startedAgain, startedCancelled }
   }
 
-  const deliver = (state: ModelState): readonly transitions.RunAction[] =>
+  const deliver = (
+    state: ModelState,
+    view: workflowState.WorkflowView,
+  ): readonly transitions.RunAction[] =>
     state.orders.flatMap((order, index) => {
       const worker = state.workers.find(({ id }) => id === order.workerId)
       if (worker === undefined || order.stage !== 'given') return []
+      if (!mayReach(view, worker, order)) return []
       const label = `order ${labelOf(order.run)} to ${worker.id}`
       const arrived = { ...state, orders: transitions.removeAt(state.orders, index) }
       const actions: transitions.RunAction[] = [
@@ -91,7 +135,7 @@
         ]
         actions.push({
           text: `${label} gets no answer and is sent again`,
-          apply: () => ({ ...state, copies, orders }),
+          apply: () => repeat({ ...state, copies, orders }, worker),
         })
       }
       if (state.refusals < budget.refusals) {
@@ -197,8 +241,13 @@
   }
 
   const attachImmediately = (state: ModelState, worker: Worker): ModelState => {
-    const agent = { attachedTerm: state.leaderChanges, term: state.leaderChanges, lease: 0 }
-    return repeatOrders({ ...state, agents: { ...state.agents, [worker.id]: agent } }, worker)
+    const { token } = transitions.agentOf(state, worker)
+    const agent = { attachedTerm: state.leaderChanges, term: state.leaderChanges, lease: 0, token }
+    const attached = { ...state, agents: { ...state.agents, [worker.id]: agent } }
+    return repeatOrders(
+      guards.raiseToken ? transitions.raiseToken(attached, worker) : attached,
+      worker,
+    )
   }
 
   const endRun = (state: ModelState, worker: Worker): readonly transitions.RunAction[] =>
@@ -243,14 +292,22 @@
         ...state.acknowledged,
         ...certainEnds.map(({ run }) => workflowState.taskKey(run)),
       ]
-      return replaceWorker({ ...afterCommit, acknowledged }, { ...worker, ends: [] })
+      return list(replaceWorker({ ...afterCommit, acknowledged }, { ...worker, ends: [] }), worker)
     }
     return [{ text: `the ends of ${worker.id} are recorded`, apply }]
   }
 
   const crash = (state: ModelState, worker: Worker): readonly transitions.RunAction[] => {
     if (state.crashes >= budget.crashes) return []
-    const restarted = { ...worker, bornMs: worker.bornMs + 1, running: [], ends: [], barred: {} }
+    const restarted = {
+      ...worker,
+      bornMs: worker.bornMs + 1,
+      token: -1,
+      called: false,
+      running: [],
+      ends: [],
+      barred: {},
+    }
     const apply = (): ModelState =>
       replaceWorker({ ...state, crashes: state.crashes + 1 }, restarted)
     return [{ text: `${worker.id} crashes and starts again under its id`, apply }]
@@ -273,7 +330,7 @@
         : state
       const knownIncarnations = { ...state.knownIncarnations, [worker.id]: worker.bornMs }
       return commit(
-        { ...barred, knownIncarnations },
+        followIncarnation({ ...barred, knownIncarnations }, worker),
         createEndsCommand(worker, previousBornMs, runs, EndKind.LOST),
       )
     }
@@ -315,6 +372,8 @@
         workers: WORKER_IDS.map((id) => ({
           id,
           bornMs: 1,
+          token: 0,
+          called: true,
           lease: 0,
           running: [],
           ends: [],
@@ -341,7 +400,7 @@
       const { view } = runState.replay(state.log)
       return [
         ...assign(state, view),
-        ...deliver(state),
+        ...deliver(state, view),
         ...recordRejections(state),
         ...changeLeader(state),
         ...streams.actions(state, view),
--- a/packages/model-check/src/runModelState.ts
+++ b/packages/model-check/src/runModelState.ts
@@ -29,6 +29,11 @@
   readonly barCancelledRuns: boolean
   /** The leader does not repeat orders of a cancelled job. */
   readonly skipCancelledJobs: boolean
+  /**
+   * The fencing token of an agent rises after an order without an answer, after a restart, and before a call that may reach
+   * another incarnation. Off beside leaders and agents of earlier versions, so the other guards must hold without it.
+   */
+  readonly raiseToken: boolean
 }
 
 export const ALL_GUARDS: RunGuards = {
@@ -43,6 +48,7 @@
   skipRejectedRuns: true,
   barCancelledRuns: true,
   skipCancelledJobs: true,
+  raiseToken: true,
 }
 
 /** Order to start a run, in transit to a worker. */
@@ -55,6 +61,8 @@
   readonly term: number
   /** Whether the job had been cancelled before the order was sent. */
   readonly afterCancel: boolean
+  /** Fencing token with which the agent gave it. */
+  readonly token: number
   /** Number of the worker's lease that the order was sent under; the worker ignores it under a later lease. */
   readonly lease: number
   /** Whether the agent process that delivers the order still waits for the answer. */
@@ -80,6 +88,8 @@
   readonly term: number
   /** Number of the newest lease that it got from a leader while that leader was current. */
   readonly lease: number
+  /** Fencing token of its next call. */
+  readonly token: number
 }
 
 export interface UnacknowledgedEnd {
@@ -92,6 +102,10 @@
 export interface ModelWorker {
   readonly id: string
   readonly bornMs: number
+  /** Highest fencing token that this incarnation has seen; -1 before the first. */
+  readonly token: number
+  /** Whether its agent has called this incarnation since it lost contact with the one before; a start order is no such call. */
+  readonly called: boolean
   /** Lease number: how many leases have expired in all incarnations. */
   readonly lease: number
   readonly running: readonly TaskRun[]
--- a/packages/model-check/src/runScenarios.ts
+++ b/packages/model-check/src/runScenarios.ts
@@ -74,4 +74,10 @@
     budget: { ...NO_FAULTS, leaderChanges: 1, cancels: 1 },
     hasStreams: true,
   },
+  {
+    name: 'a copy of an order reaches the next incarnation after its agent called it',
+    protection: 'raiseToken',
+    budget: { ...NO_FAULTS, copies: 1, crashes: 1 },
+    sparesUncalled: true,
+  },
 ]
--- a/packages/model-check/src/runStreams.ts
+++ b/packages/model-check/src/runStreams.ts
@@ -60,6 +60,7 @@
       stage: hasStreams ? 'sent' : 'given',
       term: state.leaderChanges,
       lease: worker.lease,
+      token: transitions.agentOf(state, worker).token,
       awaited: true,
       afterCancel: isCancelled(transitions.viewOf(state), run),
     }
@@ -71,6 +72,15 @@
     agents: { ...state.agents, [id]: agent },
   })
 
+  /** Lets the agent follow the current leader on a new stream, which raises its token. */
+  const follow = (state: ModelState, worker: Worker): ModelState => {
+    const term = state.leaderChanges
+    const { token } = transitions.agentOf(state, worker)
+    const agent = { attachedTerm: term, term, lease: worker.lease, token }
+    const following = setAgent(state, worker, agent)
+    return guards.raiseToken ? transitions.raiseToken(following, worker) : following
+  }
+
   /** Switches the agent to the new leader's stream: orders on earlier streams are lost, held ones are dropped. */
   const followLeader = (state: ModelState, worker: Worker): ModelState => {
     const dropsOrders = guards.dropOpenOrders
@@ -82,8 +92,7 @@
       .map((order) =>
         isForWorker(order) && isGiven(order) && dropsOrders ? { ...order, awaited: false } : order,
       )
-    const term = state.leaderChanges
-    return setAgent({ ...state, orders }, worker, { attachedTerm: term, term, lease: worker.lease })
+    return follow({ ...state, orders }, worker)
   }
 
   const restart: RunStreams['restart'] = (state, worker) => {
@@ -91,8 +100,7 @@
     const orders = state.orders
       .filter((order) => !isForWorker(order) || isGiven(order))
       .map((order) => (isForWorker(order) ? { ...order, awaited: false } : order))
-    const term = state.leaderChanges
-    return setAgent({ ...state, orders }, worker, { attachedTerm: term, term, lease: worker.lease })
+    return follow({ ...state, orders }, worker)
   }
 
   const stopLost: RunStreams['stopLost'] = (state, worker) => {
@@ -140,7 +148,8 @@
       if (order.stage === 'held') {
         const lease = leaseOf(state, worker)
         const text = `the agent gives ${label}`
-        return [{ text, apply: () => replace({ stage: 'given', lease }) }]
+        const { token } = transitions.agentOf(state, worker)
+        return [{ text, apply: () => replace({ stage: 'given', lease, token }) }]
       }
       if (transitions.agentOf(state, worker).term !== order.term) return []
       const ignored = { ...state, orders: transitions.removeAt(state.orders, index) }
--- a/packages/model-check/src/runTransitions.ts
+++ b/packages/model-check/src/runTransitions.ts
@@ -16,6 +16,13 @@
    * leader one by one. The job then has one step, so that the state space stays small enough to explore completely.
    */
   readonly hasStreams?: boolean
+  /** Whether the agents' fencing tokens rise; the scenario whose protection this is decides by itself. @default false */
+  readonly raisesToken?: boolean
+  /**
+   * Whether an incarnation that has not been called yet gets only orders for which its agent waits and whose run has not ended.
+   * It has seen no fencing token, so no caller can keep others from it. @default false
+   */
+  readonly sparesUncalled?: boolean
 }
 
 /** One enabled transition. */
@@ -64,11 +71,26 @@
 ): boolean => order.workerId === worker.id && isSameRun(order.run, run)
 
 /** Agent that is attached to the first leader. */
-export const INITIAL_AGENT: runState.ModelAgent = { attachedTerm: 0, term: 0, lease: 0 }
+export const INITIAL_AGENT: runState.ModelAgent = { attachedTerm: 0, term: 0, lease: 0, token: 0 }
 
 export const agentOf = (state: ModelState, { id }: Pick<Worker, 'id'>): runState.ModelAgent =>
   state.agents[id] ?? INITIAL_AGENT
 
+/** Raises the token of a worker's agent. */
+export const raiseToken = (state: ModelState, worker: Pick<Worker, 'id'>): ModelState => {
+  const agent = agentOf(state, worker)
+  const raised = { ...agent, token: agent.token + 1 }
+  return { ...state, agents: { ...state.agents, [worker.id]: raised } }
+}
+
+/** The agent calls its worker, which then ignores all orders with a lower token. */
+export const call = (state: ModelState, { id }: Pick<Worker, 'id'>): ModelState => {
+  const called = state.workers.find((worker) => worker.id === id)
+  if (called === undefined) return state
+  const token = Math.max(called.token, agentOf(state, called).token)
+  return replaceWorker(state, { ...called, token, called: true })
+}
+
 /** Whether the current leader has a stream to the worker's agent. */
 export const isAttached = (state: ModelState, worker: Pick<Worker, 'id'>): boolean =>
   agentOf(state, worker).attachedTerm === state.leaderChanges
--- a/packages/workflow-agent/__tests__/replicaThread.mjs
+++ b/packages/workflow-agent/__tests__/replicaThread.mjs
@@ -12,6 +12,7 @@
   call.write({
     sequence,
     fence: behaviour.fence,
+    streamNumber: 1,
     leaseUntilMs: 0,
     acknowledgedEnd: 0,
     starts: [],
--- a/packages/workflow-agent/__tests__/runTable.spec.ts
+++ b/packages/workflow-agent/__tests__/runTable.spec.ts
@@ -26,6 +26,7 @@
   readonly stops?: readonly runners.OrderAnswer[]
   readonly lists?: readonly ('absent' | 'running' | 'ended')[]
   readonly mayStart?: () => boolean
+  readonly fence?: () => number
   readonly leaseUntilMs?: () => number
   /** Reading of the worker's clock in each list, in milliseconds. */
   readonly listClockMs?: () => number
@@ -69,13 +70,14 @@
     identity: { id: 'w', bornMs: 1, agent: 'a' },
     runner,
     logger: telemetry.createSilentLogger(),
-    fence: () => 3,
+    fence: options.fence ?? (() => 3),
     leaseUntilMs: options.leaseUntilMs ?? (() => 6_000),
     mayStart: options.mayStart ?? (() => true),
     isResponsive: () => true,
     nextList: () => Promise.resolve(listOf(next(lists))),
     onRejected: (rejection) => rejections.push(rejection),
     onStarted: () => undefined,
+    onUnanswered: () => undefined,
     onFenced: () => {
       fenced += 1
     },
@@ -284,6 +286,34 @@
     expect(subject.rejections).toEqual([])
   })
 
+  // Guards against a new stream, and a lost order, for each call that a newer one of the same agent overtook.
+  it.each([
+    {
+      name: 'a start',
+      options: { answers: [refused('fence'), started] },
+      calls: ['start until 6000', 'start until 6000'],
+    },
+    {
+      name: 'a stop',
+      options: { answers: [unanswered, refused('no-room')], stops: ['fence', 'done'] as const },
+      calls: ['start until 6000', 'start until 6000', 'stop', 'stop'],
+    },
+  ])('goes on after a refusal of $name whose fence this agent has raised', async (row) => {
+    let fence = 3
+    const subject = createSubject({
+      ...row.options,
+      // Rises between the reading for a call and its answer.
+      fence: () => {
+        fence += 1
+        return fence
+      },
+    })
+    subject.start()
+    await waitUntilQuiet(subject)
+    expect(subject.calls).toEqual(row.calls)
+    expect(subject.fenced()).toBe(0)
+  })
+
   it('is given once when the leader repeats it', async () => {
     const subject = createSubject({})
     subject.start()
@@ -338,6 +368,7 @@
         nextList: () => Promise.resolve({ bornMs: 1, clockMs: 0, running: [], ended: [] }),
         onRejected: (rejection) => rejections.push(rejection),
         onStarted: () => undefined,
+        onUnanswered: () => undefined,
         onFenced: () => undefined,
       })
     const order = { ...protocol.workflow.StartOrder.fromPartial({ command: 'x' }), run: RUN }
--- a/packages/workflow-agent/__tests__/standInLeader.ts
+++ b/packages/workflow-agent/__tests__/standInLeader.ts
@@ -19,13 +19,17 @@
 >
 
 /** Leader that extends the lease with each report and sends the orders that the test gives. */
-export const createLeader = async () => {
+export const createLeader = async (options: { readonly numbersStreams?: boolean } = {}) => {
+  const { numbersStreams = true } = options
   const reports: protocol.workflow.WorkerReport[] = []
   let stream: AttachCall | undefined
+  let streamCount = 0
+  let term = 3
   const send = (orders: Partial<protocol.workflow.WorkerOrders>): void => {
     stream?.write({
       ...protocol.workflow.WorkerOrders.fromPartial({}),
-      fence: 3,
+      fence: term,
+      streamNumber: numbersStreams ? streamCount : 0,
       leading: true,
       worker: reports.at(-1)?.worker?.identity,
       ...orders,
@@ -35,6 +39,7 @@
   server.addService(protocol.workflow.WorkflowService, {
     attach: (call: AttachCall) => {
       stream = call
+      streamCount += 1
       call.on('data', (report: protocol.workflow.WorkerReport) => {
         reports.push(report)
         send({ leaseUntilMs: report.sample > 0 ? report.clockMs + LEASE_MS : 0 })
@@ -68,6 +73,12 @@
     pace: (percent: number): void => {
       send({ paces: [{ run: RUN, percent }] })
     },
+    /** Ends the stream and leads a new term from now on, like the next leader at the same address. */
+    changeTerm: (): void => {
+      term += 1
+      streamCount = 0
+      stream?.end()
+    },
     /** Ends the stream like a replica that lost the leadership. */
     resign: (): void => {
       stream?.end()
--- a/packages/workflow-agent/src/bestEffortPaces.ts
+++ b/packages/workflow-agent/src/bestEffortPaces.ts
@@ -17,7 +17,7 @@
   readonly runner: Pick<runners.Runner, 'pace'>
   readonly logger: telemetry.Logger
   readonly nowMs: () => number
-  /** Highest fencing token seen in orders; 0 before the first. */
+  /** Fencing token of the next call; 0 if there is none. */
   readonly fence: () => number
   readonly entryOf: runTables.RunTable['entryOf']
 }
--- a/packages/workflow-agent/src/incarnationProbe.ts
+++ b/packages/workflow-agent/src/incarnationProbe.ts
@@ -25,7 +25,7 @@
 export interface IncarnationProbeOptions {
   readonly runner: Pick<runners.Runner, 'list'>
   readonly logger: telemetry.Logger
-  /** Highest fencing token seen in orders; 0 before the first. */
+  /** Fencing token of the next call; 0 if there is none. */
   readonly fence: () => number
   readonly nowMs: () => number
   /** The worker runs as the announced incarnation. */
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -37,7 +37,7 @@
   readonly identity: protocol.workflow.WorkerIdentity
   readonly runner: runners.Runner
   readonly logger: telemetry.Logger
-  /** Highest fencing token seen in orders; 0 before the first. */
+  /** Fencing token of the next call; 0 if there is none. */
   readonly fence: () => number
   readonly leaseUntilMs: () => number
   readonly mayStart: () => boolean
@@ -51,6 +51,8 @@
   readonly onRejected: (rejection: protocol.workflow.Rejection) => void
   /** A run was started; its pace may differ from the ordered pace. */
   readonly onStarted: (entry: RunEntry) => void
+  /** A start order got no answer: a copy of it may be carried out at any later time, unless a call with a higher fence voids it. */
+  readonly onUnanswered: () => void
   /** The worker has seen a higher fence than the orders carry. */
   readonly onFenced: () => void
 }
@@ -99,6 +101,9 @@
   const isAbsentAfter = (clockMs: number, run: TaskRun): boolean =>
     latestList !== undefined && latestList.clockMs > clockMs && !isListedAsRunning(latestList, run)
 
+  /** Whether a newer call of this agent carries a higher fence, so that a refusal says nothing about the leader. */
+  const isOvertaken = (fence: number): boolean => fence < options.fence()
+
   /** Waits until the run is not listed as running, then rejects it unless the worker lists its end. */
   const rejectOnceAbsent = async (
     run: TaskRun,
@@ -134,9 +139,11 @@
     for (;;) {
       if (closed) return
       expiryMs ??= options.leaseUntilMs() || undefined
-      const answer = await runner.stop(identity, run, options.fence())
+      const fence = options.fence()
+      const answer = await runner.stop(identity, run, fence)
       if (answer === 'done') break
       if (answer === 'fence') {
+        if (isOvertaken(fence)) continue
         options.onFenced()
         return
       }
@@ -197,6 +204,7 @@
         if (answer.kind === 'unanswered') {
           isOutcomeUncertain = true
           logger.info('start order got no answer', { run: key, fence })
+          options.onUnanswered()
         }
         // Either way the worker may have started again since.
         isUnanswered = true
@@ -223,6 +231,7 @@
           await rejectOnceAbsent(run, RejectionReason.REFUSED)
           return
         case 'fence':
+          if (isOvertaken(fence)) continue
           entries.delete(key)
           options.onFenced()
           return
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -7,6 +7,7 @@
 import * as announcementSeries from './announcementSeries.js'
 import type * as attachTraces from './attachTrace.js'
 import * as bestEffortPaces from './bestEffortPaces.js'
+import * as fenceSequences from './fenceSequence.js'
 import * as incarnationProbes from './incarnationProbe.js'
 import * as leaderStreams from './leaderStream.js'
 import * as interruptibleDelays from './interruptibleDelay.js'
@@ -101,7 +102,6 @@
   const { cell, name, runner, logger } = options
   const nowMs = options.nowMs ?? (() => performance.now())
   let incarnation: WorkerIncarnation | undefined
-  let fence: number | undefined
   let reportSequence = 0
   let reportedMs = 0
   let stopped = true
@@ -145,11 +145,10 @@
     )
 
   const onOrders = (orders: protocol.workflow.WorkerOrders): void => {
-    if (fence !== undefined && orders.fence < fence) {
-      stream.restart(`its fence ${orders.fence} is older than ${fence}`)
+    if (!fenceSequence.follow({ term: orders.fence, streamNumber: orders.streamNumber })) {
+      stream.restart(`its term ${orders.fence} or the number of its stream is older than before`)
       return
     }
-    fence = orders.fence
     rejections = rejections.filter(
       ({ sentSequence }) => sentSequence === 0 || sentSequence > orders.sequence,
     )
@@ -186,6 +185,19 @@
     },
   })
 
+  const fenceSequence = fenceSequences.createFenceSequence(() => {
+    stream.restart('the fences of the stream are used up')
+  })
+
+  const fence = (): number => fenceSequence.current() ?? 0
+
+  /** The next call may reach another incarnation under the same id, so it voids the earlier ones. */
+  const loseContact = (current: WorkerIncarnation): void => {
+    if (!current.isResponsive) return
+    current.isResponsive = false
+    fenceSequence.raise()
+  }
+
   /**
    * Handles a list of an earlier incarnation than the announced one. One such list may have been under way during a restart;
    * several in a row show that the announcement came from another writer.
@@ -250,7 +262,8 @@
 
   const listLoop = async (current: WorkerIncarnation): Promise<void> => {
     while (!stopped && !current.ended && incarnation === current) {
-      if (fence === undefined) {
+      const token = fenceSequence.current()
+      if (token === undefined) {
         await timers.setTimeout(LIST_RETRY_DELAY_MS)
         continue
       }
@@ -258,7 +271,7 @@
       const { isResponsive } = current
       current.inProgressWaiters.push(...current.listWaiters.splice(0))
       const answer = await runner.list(worker.identity, {
-        fence,
+        fence: token,
         // A later incarnation under this id numbers its ends from 1 again and would drop them as acknowledged.
         acknowledgedEnd: isResponsive ? current.acknowledgedEnd : 0,
         leaseUntilMs: current.leaseUntilMs > 0 ? current.leaseUntilMs : undefined,
@@ -274,7 +287,8 @@
         }
         continue
       }
-      current.isResponsive = false
+      if (answer.kind === 'fence' && token < fence()) continue
+      loseContact(current)
       if (answer.kind === 'fence') stream.restart('the worker has seen a higher fence')
       await timers.setTimeout(LIST_RETRY_DELAY_MS)
     }
@@ -295,12 +309,13 @@
   ): void => {
     if (incarnation !== undefined) closeIncarnation(incarnation)
     rejections = []
+    fenceSequence.raise()
     const { identity } = announcement.worker
     const table = runTables.createRunTable({
       identity,
       runner,
       logger,
-      fence: () => fence ?? 0,
+      fence,
       leaseUntilMs: () => newIncarnation.leaseUntilMs,
       mayStart: () =>
         !newIncarnation.announcement.draining && !newIncarnation.ended && stream.isAttached(),
@@ -320,6 +335,7 @@
       onStarted: (entry) => {
         void newIncarnation.paces.set(entry)
       },
+      onUnanswered: fenceSequence.raise,
       onFenced: () => {
         stream.restart('the worker has seen a higher fence')
       },
@@ -336,7 +352,7 @@
         runner,
         logger,
         nowMs,
-        fence: () => fence ?? 0,
+        fence,
         entryOf: table.entryOf,
       }),
       leaseUntilMs: 0,
@@ -405,7 +421,7 @@
     runner,
     logger,
     nowMs,
-    fence: () => fence ?? 0,
+    fence,
     onConfirmed: (announcement) => {
       // A list may have shown the incarnation in the meantime.
       if (incarnation !== undefined && isCurrent(announcement)) update(incarnation, announcement)
@@ -435,7 +451,7 @@
     // Orders carry only the id, so a later incarnation would carry out those for the current one.
     const current = incarnation.announcement.worker.identity
     if (identity.id === current.id && identity.bornMs > current.bornMs) {
-      incarnation.isResponsive = false
+      loseContact(incarnation)
     }
     probe.ask(announcement)
   }
--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -43,6 +43,7 @@
   const orders = (sequence: number): protocol.workflow.WorkerOrders => ({
     sequence,
     fence: 1,
+    streamNumber: 1,
     leaseUntilMs: 0,
     acknowledgedEnd: 0,
     starts: [],
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -4,6 +4,7 @@
 
 const { afterEach, beforeEach, describe, expect, it } = vitest
 const { EndKind, RejectionReason } = protocol.workflow
+const { MAX_STREAM_NUMBER } = protocol.fencing
 
 let harness: ReturnType<typeof harnesses.createTermHarness>
 
@@ -416,3 +417,34 @@
     expect(agent.starts()).toEqual(['j.0.0.0#1'])
   })
 })
+
+describe('the numbers of streams', () => {
+  const numbersOf = (agent: harnesses.Agent): ReadonlySet<number> =>
+    new Set(agent.orders.map(({ streamNumber }) => streamNumber))
+
+  // Guards against two agent processes, or two incarnations of a worker, with the same fencing token.
+  it('rise with each stream of an agent within the term, and are counted for each agent', () => {
+    const attached = ['w', 'w', 'v', 'w', 'v'].map((name) => {
+      const agent = harness.attach(name)
+      agent.report()
+      agent.report({ bornMs: 2 })
+      return agent
+    })
+    expect(attached.map((agent) => [...numbersOf(agent)])).toEqual([[1], [2], [1], [3], [2]])
+  })
+
+  it('guards against a number that is used twice, once all of a term are used up', () => {
+    const ignored = { send: () => undefined, end: () => undefined }
+    for (let count = 0; count < MAX_STREAM_NUMBER; count += 1) harness.term.attach('w', ignored)
+    const agent = harness.attach('w')
+    agent.report()
+    expect(agent.ended).toBe(true)
+    expect(agent.orders).toEqual([])
+    expect(harness.logs.filter(({ message }) => message.startsWith('agent refused'))).toHaveLength(
+      1,
+    )
+    const other = harness.attach('v')
+    other.report()
+    expect([...numbersOf(other)]).toEqual([1])
+  })
+})
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -65,6 +65,7 @@
     call.write({
       sequence: 0,
       fence: 0,
+      streamNumber: 0,
       leaseUntilMs: 0,
       acknowledgedEnd: 0,
       starts: [],
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -23,6 +23,7 @@
 import * as sessions from './workerSession.js'
 
 const { EndKind, RejectionReason } = protocol.workflow
+const { MAX_STREAM_NUMBER } = protocol.fencing
 
 /** Maximum age of a worker's newest run list for it to get new runs, in milliseconds: three lists were missed. */
 const MAX_LIST_AGE_MS = 1_600
@@ -98,6 +99,8 @@
   let sweptMs = listeningSinceMs
   let accountedMs = listeningSinceMs
   const byAgent = new Map<string, sessions.WorkerSession>()
+  /** Streams of each agent in this term so far. */
+  const streamCounts = new Map<string, number>()
   /** Sessions of `byAgent` by the key of the worker that they report. */
   const byWorker = new Map<string, sessions.WorkerSession>()
   /** Arrival time of the newest run list of each worker incarnation. */
@@ -633,6 +636,13 @@
 
   const waitMonitor = waitMonitors.createWaitMonitor({ logger, view, nowMs, eligibleWorkers })
 
+  /** Ends a stream that has no number left; its agent gets no orders in this term, since no number may be used twice. */
+  const refuse = (agent: string, stream: sessions.OrderStream): sessions.OrderStream => {
+    logger.error('agent refused: it has attached too often in this term', { agent })
+    stream.end()
+    return { send: () => undefined, end: () => undefined }
+  }
+
   const cancelSweeps = clock.every(SWEEP_INTERVAL_MS, () => {
     ctx.work.measure('sweep', sweep)
   })
@@ -643,10 +653,13 @@
       const replaced = byAgent.get(agent)
       replaced?.end()
       if (replaced !== undefined) removeFromIndex(replaced, replaced.key)
+      const streamNumber = (streamCounts.get(agent) ?? 0) + 1
+      streamCounts.set(agent, streamNumber)
       const session = sessions.createWorkerSession({
         agent,
-        stream,
+        stream: streamNumber > MAX_STREAM_NUMBER ? refuse(agent, stream) : stream,
         fence: term,
+        streamNumber,
         workerLeaseMs: timing.workerLeaseMs,
         nowMs,
         isKnownService: (service) =>
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -15,6 +15,8 @@
   readonly agent: string
   readonly stream: OrderStream
   readonly fence: number
+  /** Number of the stream among those of the agent in this term, from 1. */
+  readonly streamNumber: number
   readonly workerLeaseMs: number
   readonly nowMs: () => number
   /** Whether the configuration names a service; true while there is none. */
@@ -54,7 +56,7 @@
 }
 
 export const createWorkerSession = (options: SessionOptions): WorkerSession => {
-  const { agent, stream, fence, workerLeaseMs, nowMs } = options
+  const { agent, stream, fence, streamNumber, workerLeaseMs, nowMs } = options
   let worker: protocol.workflow.WorkerDescription | undefined
   let key = ''
   let draining = false
@@ -71,6 +73,7 @@
     stream.send({
       sequence: 0,
       fence,
+      streamNumber,
       leaseUntilMs: 0,
       acknowledgedEnd,
       starts: [],
