--- a/packages/model-check/src/runModelState.ts
+++ b/packages/model-check/src/runModelState.ts
@@ -104,7 +104,7 @@
   readonly bornMs: number
   /** Highest fencing token that this incarnation has seen; -1 before the first. */
   readonly token: number
-  /** Whether its agent has called this incarnation since it lost contact with the one before; a start order is no such call. */
+  /** Whether its agent has listed this incarnation since it lost contact with the one before. */
   readonly called: boolean
   /** Lease number: how many leases have expired in all incarnations. */
   readonly lease: number
--- a/packages/model-check/src/runTransitions.ts
+++ b/packages/model-check/src/runTransitions.ts
@@ -19,8 +19,8 @@
   /** Whether the agents' fencing tokens rise; the scenario whose protection this is decides by itself. @default false */
   readonly raisesToken?: boolean
   /**
-   * Whether an incarnation that has not been called yet gets only orders for which its agent waits and whose run has not ended.
-   * It has seen no fencing token, so no caller can keep others from it. @default false
+   * Whether an incarnation that has not been called yet gets only orders for which its agent waits and whose run has
+   * not ended. It has seen no fencing token, so no caller can keep others from it. @default false
    */
   readonly sparesUncalled?: boolean
 }
--- a/packages/protocol/src/fencing.ts
+++ b/packages/protocol/src/fencing.ts
@@ -1,4 +1,4 @@
-/** Parts of the fencing token in an agent's calls to its worker, and the limits within which it is a whole number in JSON. */
+/** Parts of the fencing token in an agent's calls to its worker, which has to be a whole number that JSON carries. */
 
 /** Numbers that an agent may use up on one stream to the leader. */
 export const TOKENS_PER_STREAM = 2 ** 10
--- a/packages/workflow-agent/src/fenceSequence.ts
+++ b/packages/workflow-agent/src/fenceSequence.ts
@@ -1,9 +1,9 @@
 /**
- * Fencing tokens of the calls to a worker. A worker does nothing for a lower token than it has seen, but a new incarnation
- * under the same id has seen none, and a call to the incarnation before may still reach it. So the token rises not only with
- * the leader's term: it also rises with each stream to the leader, which covers a restart of the agent, with each start order
- * that got no answer, and whenever another incarnation may answer the next call. The first call that reaches a new incarnation then
- * voids all older ones.
+ * Fencing tokens of the calls to a worker. A worker does nothing for a lower token than it has seen, but a new
+ * incarnation under the same id has seen none, and a call to the one before may still reach it. So the token does not
+ * rise with the leader's term alone. It also rises with each stream to the leader, which covers a restart of the agent,
+ * with each start order that got no answer, and whenever another incarnation may answer the next call. The first call
+ * that reaches a new incarnation then voids all older ones.
  */
 import * as protocol from '@ebonyweir/protocol'
 
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -51,7 +51,7 @@
   readonly onRejected: (rejection: protocol.workflow.Rejection) => void
   /** A run was started; its pace may differ from the ordered pace. */
   readonly onStarted: (entry: RunEntry) => void
-  /** A start order got no answer: a copy of it may be carried out at any later time, unless a call with a higher fence voids it. */
+  /** A start order got no answer: it may be carried out at any time until a call with a higher fence voids it. */
   readonly onUnanswered: () => void
   /** The worker has seen a higher fence than the orders carry. */
   readonly onFenced: () => void
--- a/packages/workflow-agent/src/runner.ts
+++ b/packages/workflow-agent/src/runner.ts
@@ -58,7 +58,7 @@
   readonly leaseUntilMs: number | undefined
   /** Time for which the worker may wait for an end before it answers (long poll), in milliseconds. */
   readonly waitMs: number
-  /** Whether the call only asks which incarnation runs; such a call never delays that of the followed one. @default false */
+  /** Whether the call only asks which incarnation runs; it does not delay the list of the followed one. @default false */
   readonly isProbe?: boolean
 }
 
