--- a/packages/model-check/src/runModel.ts
+++ b/packages/model-check/src/runModel.ts
@@ -59,6 +59,7 @@
       }),
     )
 
+  /** Whether an order may arrive at all; see `sparesUncalled`. */
   const mayReach = (
     view: workflowState.WorkflowView,
     worker: Worker,
