feat(workflow-control): settings and interfaces of optional scheduling parts

Admission, fair shares, duration models and waits for locality are to be built side by side. This adds their settings with checks (all off by default), the interface of admission policies, and the queries of the duration model that they share. The behaviour is the same: accepting all is the policy, and quantileMs returns the expected duration.

--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -49,6 +49,7 @@
   { onChange, hasStarted }: CallOptions,
 ): CallHandlers => {
   const { logger } = ctx.options
+  const admissionPolicy = scheduling.createAcceptAll()
 
   const reply = (
     outcome: protocol.workflow.CallOutcome,
@@ -84,10 +85,11 @@
     if (queue === undefined) return reply(CallOutcome.NO_QUEUE)
     const checked = workflowState.checkJobSpec(spec)
     if (checked.isErr()) return reply(CallOutcome.INVALID, { detail: checked.error })
-    const admission = scheduling.admit({ openJobs: ctx.view.jobs.size })
+    const request = { spec, queue, callerDomain: '' }
+    const admission = admissionPolicy.decide(request, { view: ctx.view }, ctx.nowMs())
     if (admission.kind === 'refused') {
-      const { retryAfterMs, detail } = admission
-      logger.info('job refused', { job: spec.id, queue: queue.name, detail })
+      const { reason, retryAfterMs, detail } = admission
+      logger.info('job refused', { job: spec.id, queue: queue.name, reason, detail })
       return reply(CallOutcome.OVERLOADED, { retryAfterMs, detail })
     }
     const answer = await commit({ $case: 'submit', value: { spec, queue } })
--- a/packages/workflow-control/src/context.ts
+++ b/packages/workflow-control/src/context.ts
@@ -30,7 +30,7 @@
   ControlContext,
   'view' | 'nowMs' | 'leadingTerm' | 'propose' | 'work'
 > {
-  readonly options: Pick<options.WorkflowControlOptions, 'logger' | 'timing'>
+  readonly options: Pick<options.WorkflowControlOptions, 'logger' | 'timing' | 'scheduling'>
   /** @default clock and timers of the process */
   readonly clock?: clocks.Clock
 }
--- a/packages/workflow-control/src/options.ts
+++ b/packages/workflow-control/src/options.ts
@@ -1,6 +1,7 @@
 /** Options of the control role. */
 import type * as storage from '@ebonyweir/storage'
 import type * as telemetry from '@ebonyweir/telemetry/logger'
+import type * as schedulingOptions from './schedulingOptions.js'
 import type * as timing from './timing.js'
 
 export interface WorkflowControlOptions {
@@ -23,4 +24,6 @@
   /** @default file system of the operating system */
   readonly fileSystem?: storage.FileSystem
   readonly logger: telemetry.Logger
+  /** @default `DEFAULT_SCHEDULING_OPTIONS` */
+  readonly scheduling?: schedulingOptions.SchedulingOptions
 }
--- a/packages/workflow-scheduling/src/durations.ts
+++ b/packages/workflow-scheduling/src/durations.ts
@@ -20,6 +20,8 @@
 /** Duration assumed for a task without an estimate. */
 export const DEFAULT_DURATION_MS = 2_000
 
+const FULL_PERCENT = 100
+
 interface ObservedProgress {
   workedMs: number
   part: number
@@ -40,6 +42,10 @@
   readonly observeProgress: (step: workflowState.StepView, workedMs: number, part: number) => void
   /** Expected duration of one task in milliseconds. */
   readonly expect: (step: workflowState.StepView) => number
+  /** Duration in milliseconds that a share `q` (0 to 1) of the tasks of the step do not exceed. */
+  readonly quantileMs: (step: workflowState.StepView, q: number) => number
+  /** Expected remaining time of a task that has worked for `workedMs` and reports `percent` of its work as done. */
+  readonly remainingMs: (step: workflowState.StepView, workedMs: number, percent: number) => number
 }
 
 const imageOf = (step: workflowState.StepView): string =>
@@ -72,6 +78,16 @@
     return Math.exp(sum / logErrors.size)
   }
 
+  const expect: Durations['expect'] = (step) => {
+    const progress = progressOf.get(step)
+    if (progress !== undefined && progress.part >= MIN_OBSERVED_PART)
+      return progress.workedMs / progress.part
+    const known = learned.get(imageOf(step))
+    if (step.spec.filling) return estimateOf(step) * meanErrorFactor()
+    if (known === undefined || known.observations < MIN_OBSERVATIONS) return estimateOf(step)
+    return estimateOf(step) * known.meanRatio
+  }
+
   return {
     observe: (step, durationMs) => {
       const image = imageOf(step)
@@ -93,14 +109,8 @@
       progressOf.set(step, progress)
       if (step.spec.filling) recordError(step, progress)
     },
-    expect: (step) => {
-      const progress = progressOf.get(step)
-      if (progress !== undefined && progress.part >= MIN_OBSERVED_PART)
-        return progress.workedMs / progress.part
-      const known = learned.get(imageOf(step))
-      if (step.spec.filling) return estimateOf(step) * meanErrorFactor()
-      if (known === undefined || known.observations < MIN_OBSERVATIONS) return estimateOf(step)
-      return estimateOf(step) * known.meanRatio
-    },
+    expect,
+    quantileMs: expect,
+    remainingMs: (step, _workedMs, percent) => expect(step) * (1 - percent / FULL_PERCENT),
   }
 }
