--- a/packages/workflow-client/__tests__/leaderWait.spec.ts
+++ b/packages/workflow-client/__tests__/leaderWait.spec.ts
@@ -53,3 +53,21 @@
     expect(waitMs).toBeLessThanOrEqual(mostMs)
   })
 })
+
+describe('wait at an entry that has just started', () => {
+  // Guards against refusals right after a loss of all power, while the replicas elect their first leader.
+  it.each([
+    { sinceStartMs: 0, minMs: 1_200, maxMs: HALF_OF_CALLER_TIME_MS },
+    { sinceStartMs: 900, minMs: 1_200, maxMs: HALF_OF_CALLER_TIME_MS },
+    { sinceStartMs: 2_500, minMs: 300, maxMs: 500 },
+  ])('$sinceStartMs ms after the start', ({ sinceStartMs, minMs, maxMs }) => {
+    let nowMs = 10_000
+    const client = workflowClient.createLeaderClient({ seeds: () => [], nowMs: () => nowMs })
+    nowMs += sinceStartMs
+    const sinceLeaderMs = client.sinceLeaderMs()
+    const waitMs = workflowClient.leaderWaitMs({ leftMs: 2_850, sinceLeaderMs })
+    expect(waitMs).toBeGreaterThanOrEqual(minMs)
+    expect(waitMs).toBeLessThanOrEqual(maxMs)
+    client.close()
+  })
+})
--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -54,7 +54,7 @@
   >
   readonly evacuate: Call<protocol.workflow.SetEvacuation, protocol.workflow.CallReply>
   readonly contact: Call<protocol.workflow.ContactRequest, protocol.workflow.ContactReply>
-  /** Time since a leader last answered any call; infinite if none ever did. */
+  /** Time since a leader last answered any call, or since the creation of the client if none ever did. */
   readonly sinceLeaderMs: () => number
   /** Fails calls in progress, and later calls immediately. */
   readonly close: () => void
@@ -114,7 +114,7 @@
   const nowMs = options.nowMs ?? (() => performance.now())
   const addressBook = addressBooks.createAddressBook(options.seeds, nowMs)
   const connectionPool = connections.createConnectionPool(nowMs)
-  let lastLeaderAnswerMs = Number.NEGATIVE_INFINITY
+  let lastLeaderAnswerMs = nowMs()
   let closed = false
   /** Wake-up callbacks of the waiting calls. */
   const pendingWaits = new Set<() => void>()
--- a/packages/workflow-client/src/leaderWait.ts
+++ b/packages/workflow-client/src/leaderWait.ts
@@ -1,7 +1,8 @@
 /**
  * Time that a submission waits for a leader. After a recent loss of the leader it waits for the election, which is over
- * by the time a refused caller would retry. When there has been no leader for longer, the caller is refused early, so
- * that it can retry at another entry before its own deadline.
+ * by the time a refused caller would retry. The same holds for an entry that has just started, since after a loss of power
+ * the replicas start at the same time. When there has been no leader for longer, the caller is refused early, so that it
+ * can retry at another entry before its own deadline.
  */
 
 /** Longest wait when a leader answered recently: an election and a commit. */
@@ -16,7 +17,7 @@
 export interface LeaderWait {
   /** Time until the caller's deadline. */
   readonly leftMs: number
-  /** Time since a leader last answered; infinite if none ever did. */
+  /** Time since a leader last answered, or since the start of the entry if none ever did. */
   readonly sinceLeaderMs: number
 }
 
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -88,6 +88,7 @@
   const state = workflowState.createWorkflowState()
   const peers = peerTransport.createTransport()
   const nowMs = (): number => performance.now()
+  const createdMs = nowMs()
   const endCounter = endMonitors.createEndCounter()
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   const work = workStatistics.createWorkStatistics(nowMs)
@@ -145,7 +146,11 @@
       term = undefined
     }
     if (leading === undefined || term !== undefined) return
-    logger.info('leading', { term: leading, jobs: state.view.jobs.size })
+    logger.info('leading', {
+      term: leading,
+      jobs: state.view.jobs.size,
+      sinceStartMs: Math.round(nowMs() - createdMs),
+    })
     term = leaderTerms.createLeaderTerm(ctx, leading, endCounter)
   }
 
@@ -183,8 +188,11 @@
         heartbeatMs: timing.heartbeatMs,
         electionTimeoutMinMs: timing.electionTimeoutMinMs,
         electionTimeoutMaxMs: timing.electionTimeoutMaxMs,
+        startupTimeoutMinMs: timing.startupTimeoutMinMs,
+        startupTimeoutMaxMs: timing.startupTimeoutMaxMs,
         leaderLeaseMs: timing.leaderLeaseMs,
       },
+      processStartMs: controlOptions.processStartMs,
       snapshotEveryEntries: SNAPSHOT_EVERY_ENTRIES,
       snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
       onFatal: ({ kind, detail }) => {
@@ -197,6 +205,10 @@
     }
     const own = opened.value
     node = own
+    logger.info('log read', {
+      jobs: state.view.jobs.size,
+      sinceStartMs: Math.round(nowMs() - createdMs),
+    })
     const ctx = createContext(own)
     const onChange = (): void => {
       term?.dispatch()
