--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,7 +44,23 @@
   },
   {
     files: ['**/*.js', '**/*.mjs'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly', URL: 'readonly' } },
+    languageOptions: {
+      globals: Object.fromEntries(
+        [
+          'AbortSignal',
+          'Buffer',
+          'URL',
+          'clearInterval',
+          'clearTimeout',
+          'console',
+          'fetch',
+          'performance',
+          'process',
+          'setInterval',
+          'setTimeout',
+        ].map((name) => [name, 'readonly']),
+      ),
+    },
   },
   {
     files: ['vitest.config.ts'],
