feat(workflow-scheduling): model of task durations with tails

A mean takes tasks that last several times as long as others for the norm: it raises the expectation of every task of the image, or makes the run, its worker or its job look unhealthy. With durationModel "quantile" the leader keeps quantiles of actual to estimated duration per image (hdr-histogram-js, one digit, two halves of 256 observations, at most 4,096 images) and the own progress rate of each task, also of steps that are not best-effort. The order, the ranking, the check for stalled runs and the decision about runs on draining workers use them. Slow runs of several jobs on one worker, whose images run at normal speed elsewhere, quarantine it.

--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -64,7 +64,7 @@
     return known
   }
 
-  /** Remaining share of a task's work, from 0 to 1. */
+  /** Remaining time of a task relative to the expected duration of its step. */
   const remainingShare = (step: workflowState.StepView, task: workflowState.TaskView): number => {
     if (task.phase === 'completed') return 0
     const run = {
@@ -74,7 +74,7 @@
       index: task.index,
       run: task.run,
     }
-    return 1 - percentOf(run) / 100
+    return expected.remainingShare(step, task.index, percentOf(run))
   }
 
   /** State of a job at `atMs`, a time of day that is the same for all jobs of a ranking. */
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -9,6 +9,7 @@
 import * as clocks from './clock.js'
 import type * as context from './context.js'
 import * as disruptionBudgets from './disruptionBudget.js'
+import * as durationLogs from './durationLog.js'
 import * as endProcessors from './endProcessor.js'
 import * as endMonitors from './endMonitor.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
@@ -60,6 +61,8 @@
 
 const FULL_PERCENT = 100
 
+const MEDIAN = 0.5
+
 /** Share of the tolerable pace at which a best-effort run starts: its neighbours' load may rise before the next list. */
 const INITIAL_PACE_SHARE = 0.6
 
@@ -79,6 +82,8 @@
   readonly dispatch: () => void
   readonly hasStarted: (job: string) => boolean
   readonly sessionCount: () => number
+  /** What the model of task durations has learned in this term. */
+  readonly learnedDurations: () => scheduling.LearnedCounts
   readonly stop: () => void
 }
 
@@ -86,6 +91,15 @@
 const attemptOf = (run: TaskRun, isGang: boolean): string =>
   workflowState.runKey(isGang ? { ...run, index: 0 } : run)
 
+/** What the end of a run says about its task. A stalled run says as little as a failed one. */
+const taskEndOf = (
+  kind: protocol.workflow.EndKind,
+  wasStalled: boolean,
+): scheduling.TaskEndKind => {
+  if (kind === EndKind.COMPLETED) return 'completed'
+  return kind === EndKind.FAILED || wasStalled ? 'failed' : 'interrupted'
+}
+
 export const createLeaderTerm = (
   ctx: context.TermContext,
   term: number,
@@ -113,7 +127,10 @@
   const checked = new WeakMap<sessions.WorkerSession, RunCheck>()
   const stalledRuns = new Set<string>()
   const health = scheduling.createHealth()
-  const durations = policies.createDurations()
+  const durationModel = ctx.options.scheduling?.durationModel ?? 'mean'
+  const durations = policies.createDurations(durationModel)
+  const durationLog = durationLogs.createDurationLog({ logger, durations, nowMs })
+  const slowWorkers = durationModel === 'quantile' ? scheduling.createSlowWorkers() : undefined
   const progress = runProgress.createRunProgress(durations)
   const disturbance = policies.createInterferenceModel()
   const endCommits = pendingEndCommits.createPendingEndCommits()
@@ -148,23 +165,52 @@
   const checkpointOf = (run: TaskRun): string =>
     checkpoints.get(workflowState.taskKey(run)) ?? activeRun(run)?.task.checkpoint ?? ''
 
+  /** Whether the worker of a completed run is far from what the task wanted, so that the run may be slow for that reason. */
+  const isRemote = (worker: WorkerIdentity, { spec }: workflowState.StepView): boolean => {
+    const rack = sessionOf(workflowState.workerKey(worker))?.worker?.rack
+    return spec.sameRack || (spec.dataRack !== '' && spec.dataRack !== rack)
+  }
+
+  const observeDuration = (
+    worker: WorkerIdentity,
+    step: workflowState.StepView,
+    durationMs: number,
+  ): void => {
+    durations.observe(step, durationMs)
+    if (slowWorkers === undefined || isRemote(worker, step)) return
+    const isEvidence = slowWorkers.observe({
+      worker: worker.id,
+      job: step.job.spec.id,
+      image: step.spec.image === '' ? step.job.queue.name : step.spec.image,
+      relativeDuration: durationMs / durations.quantileMs(step, MEDIAN),
+      atMs: nowMs(),
+    })
+    if (!isEvidence) return
+    logger.warn('worker is slow', { worker: worker.id, durationMs: Math.round(durationMs) })
+    health.recordSlowness(worker.id, nowMs())
+  }
+
   const observeEnd = (worker: WorkerIdentity, end: protocol.workflow.RunEnd): void => {
     const { run, kind } = end
     if (run === undefined) return
     accounting.recordEnd(end)
     const key = workflowState.taskKey(run)
     const now = nowMs()
-    const observed = progress.remove(run, kind !== EndKind.COMPLETED && checkpointOf(run) !== '')
+    const hasCheckpoint = kind !== EndKind.COMPLETED && checkpointOf(run) !== ''
+    const observed = progress.remove(run, hasCheckpoint)
     pacing.forget(workflowState.runKey(run))
     budget.forget(run)
     const wasStalled = stalledRuns.delete(workflowState.runKey(run))
+    const step = activeRun(run)?.step
+    if (step !== undefined) {
+      durations.endTask(step, run.index, taskEndOf(kind, wasStalled), hasCheckpoint)
+    }
     if (kind === EndKind.COMPLETED) {
-      const step = activeRun(run)?.step
       health.recordSuccess(worker.id)
       failedWorkers.delete(key)
       checkpoints.delete(key)
       if (step !== undefined && observed !== undefined && !step.spec.filling) {
-        durations.observe(step, now - observed.startedMs)
+        observeDuration(worker, step, now - observed.startedMs)
       }
     }
     if (kind === EndKind.FAILED || (kind === EndKind.STOPPED && wasStalled)) {
@@ -470,8 +516,8 @@
     const { spec } = active.step
     if (spec.lasting || spec.checkpointing) return true
     const last = progress.get(runLabels.runOf(active))
-    const remaining = durations.expect(active.step) * (1 - (last?.percent ?? 0) / 100)
-    return remaining > session.drainRemainingMs
+    const share = durations.remainingShare(active.step, active.task.index, last?.percent ?? 0)
+    return durations.expect(active.step) * share > session.drainRemainingMs
   }
 
   const isStalled = (session: sessions.WorkerSession, active: workflowState.ActiveRun): boolean => {
@@ -480,7 +526,12 @@
     const last = progress.get(runLabels.runOf(active))
     // Without a recent list, missing progress says nothing about the run.
     if (last === undefined || session.listedMs === undefined) return false
-    if (!scheduling.isStalled(last, durations.expect(active.step), session.listedMs)) return false
+    // The tail and the own rate of a long task count: it is as long on any worker, and a stop would discard its work.
+    const expectedMs = Math.max(
+      durations.quantileMs(active.step, scheduling.TAIL_QUANTILE),
+      durations.longestMs(active.step),
+    )
+    if (!scheduling.isStalled(last, expectedMs, session.listedMs)) return false
     stalledRuns.add(workflowState.runKey(runLabels.runOf(active)))
     return true
   }
@@ -533,6 +584,7 @@
     endMonitor.sweep()
     if (ctx.leadingTerm() !== term) return
     waitMonitor.sweep()
+    durationLog.sweep()
     const now = nowMs()
     if (now - accountedMs >= ACCOUNTING_INTERVAL_MS) {
       accountedMs = now
@@ -678,6 +730,7 @@
     dispatch: rounds.dispatch,
     hasStarted: (job) => startedJobs.has(job),
     sessionCount: () => byAgent.size,
+    learnedDurations: durations.learned,
     stop: () => {
       rounds.stop()
       cancelSweeps()
--- a/packages/workflow-control/src/runProgress.ts
+++ b/packages/workflow-control/src/runProgress.ts
@@ -9,7 +9,7 @@
 type TaskRun = protocol.workflow.TaskRun
 
 export interface RunProgress {
-  /** Updates the progress of a running task, and the expected duration if it is a best-effort task. */
+  /** Updates the progress of a running task, and what the model of durations knows about it. */
   readonly update: (
     active: workflowState.ActiveRun,
     task: protocol.workflow.RunningTask,
@@ -37,11 +37,16 @@
   }
 
   return {
-    update: ({ step }, { progressPercent, pacePercent }, key, nowMs) => {
+    update: ({ step, task }, { progressPercent, pacePercent }, key, nowMs) => {
       const before = progress.get(key)
       const next = scheduling.nextProgress(before, progressPercent, pacePercent, nowMs)
       progress.set(key, next)
       const worked = before && scheduling.workedBetween(before, next)
+      durations.observeTask(step, task.index, {
+        percent: next.percent,
+        elapsedMs: next.listedMs - next.startedMs,
+        worked,
+      })
       if (!step.spec.filling || worked === undefined) return
       durations.observeProgress(step, worked.workedMs, worked.part)
     },
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -5,6 +5,7 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as replica from '@ebonyweir/replica'
 import * as storage from '@ebonyweir/storage'
+import type * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as results from 'ts-results-es'
 import * as calls from './calls.js'
@@ -63,6 +64,8 @@
   readonly jobs: number
   readonly readySteps: number
   readonly attachedWorkers: number
+  /** What the leader's model of task durations has learned; zero on other replicas. */
+  readonly learnedDurations: scheduling.LearnedCounts
   readonly ends: endMonitors.EndCounts
   /** Work done since the start of the process. */
   readonly work: workStatistics.WorkTotals
@@ -262,6 +265,7 @@
         jobs: state.view.jobs.size,
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
+        learnedDurations: term?.learnedDurations() ?? { images: 0, observations: 0 },
         ends: endCounter,
         work: work.totals(),
       }
--- a/packages/workflow-scheduling/src/durations.ts
+++ b/packages/workflow-scheduling/src/durations.ts
@@ -1,5 +1,8 @@
 /** Expected task durations, learned from completed runs and reported progress because submitted estimates are rough. */
 import type * as workflowState from '@ebonyweir/workflow-state'
+import * as estimates from './durationEstimates.js'
+import * as quantileDurations from './quantileDurations.js'
+import type * as taskRates from './taskRates.js'
 
 /** Weight of a new observation in the moving average, which covers about the last ten observations. */
 const OBSERVATION_WEIGHT = 0.2
@@ -17,9 +20,6 @@
 const MIN_ERROR_STEPS = 3
 const MAX_ERROR_STEPS = 60
 
-/** Duration assumed for a task without an estimate. */
-export const DEFAULT_DURATION_MS = 2_000
-
 const FULL_PERCENT = 100
 
 interface ObservedProgress {
@@ -46,26 +46,61 @@
   readonly quantileMs: (step: workflowState.StepView, q: number) => number
   /** Expected remaining time of a task that has worked for `workedMs` and reports `percent` of its work as done. */
   readonly remainingMs: (step: workflowState.StepView, workedMs: number, percent: number) => number
+  /** Learns from a report of the progress of one task. */
+  readonly observeTask: (
+    step: workflowState.StepView,
+    index: number,
+    sample: taskRates.TaskSample,
+  ) => void
+  /** Learns from the end of a run of one task; its progress remains known if a checkpoint holds it. */
+  readonly endTask: (
+    step: workflowState.StepView,
+    index: number,
+    kind: taskRates.TaskEndKind,
+    hasCheckpoint: boolean,
+  ) => void
+  /** Remaining time of one task that is `percent` done, as a multiple of `expect`; 1 for a task that has not begun. */
+  readonly remainingShare: (step: workflowState.StepView, index: number, percent: number) => number
+  /** Time that a step adds to the remaining critical path of its job. */
+  readonly stepRemainingMs: (step: workflowState.StepView) => number
+  /** Time that a step adds to the whole critical path of its job: that of its longest task, as far as known. */
+  readonly longestMs: (step: workflowState.StepView) => number
+  readonly learned: () => LearnedCounts
+  /** Images with the heaviest tails among the most recently observed ones, at most `limit`; none without quantiles. */
+  readonly heaviestTails: (limit: number) => readonly ImageTail[]
 }
 
-const imageOf = (step: workflowState.StepView): string =>
-  step.spec.image === '' ? `${step.job.queue.name}/` : step.spec.image
+/** Amount of evidence that a model holds. */
+export interface LearnedCounts {
+  readonly images: number
+  /** Observations since the creation of the model. */
+  readonly observations: number
+}
 
-const estimateOf = (step: workflowState.StepView): number =>
-  step.spec.estimatedMs > 0 ? step.spec.estimatedMs : DEFAULT_DURATION_MS
+/** Ratios of actual to estimated duration of an image. */
+export interface ImageTail {
+  readonly image: string
+  readonly median: number
+  /** Ratio that 1 % of the tasks exceed. */
+  readonly tail: number
+}
+
+/** How durations are predicted: by means, or with quantiles that take tails into account. */
+export type DurationModel = 'mean' | 'quantile'
 
-export const createDurations = (): Durations => {
+const createMeanDurations = (): Durations => {
   const learned = new Map<string, LearnedRatio>()
   const progressOf = new WeakMap<workflowState.StepView, ObservedProgress>()
   /** Logarithm of actual to estimated duration of the latest best-effort steps. */
   const logErrors = new Map<workflowState.StepView, number>()
+  let observationCount = 0
 
   const recordError = (
     step: workflowState.StepView,
     { workedMs, part }: ObservedProgress,
   ): void => {
     if (part < MIN_OBSERVED_PART || workedMs <= 0) return
-    logErrors.set(step, Math.log(workedMs / part / estimateOf(step)))
+    logErrors.set(step, Math.log(workedMs / part / estimates.estimateOf(step)))
     const oldest = logErrors.keys().next()
     if (logErrors.size > MAX_ERROR_STEPS && oldest.done !== true) logErrors.delete(oldest.value)
   }
@@ -82,17 +117,19 @@
     const progress = progressOf.get(step)
     if (progress !== undefined && progress.part >= MIN_OBSERVED_PART)
       return progress.workedMs / progress.part
-    const known = learned.get(imageOf(step))
-    if (step.spec.filling) return estimateOf(step) * meanErrorFactor()
-    if (known === undefined || known.observations < MIN_OBSERVATIONS) return estimateOf(step)
-    return estimateOf(step) * known.meanRatio
+    const known = learned.get(estimates.imageOf(step))
+    if (step.spec.filling) return estimates.estimateOf(step) * meanErrorFactor()
+    if (known === undefined || known.observations < MIN_OBSERVATIONS)
+      return estimates.estimateOf(step)
+    return estimates.estimateOf(step) * known.meanRatio
   }
 
   return {
     observe: (step, durationMs) => {
-      const image = imageOf(step)
+      const image = estimates.imageOf(step)
+      observationCount += 1
       const before = learned.get(image)
-      const ratio = durationMs / estimateOf(step)
+      const ratio = durationMs / estimates.estimateOf(step)
       const meanRatio =
         before === undefined
           ? ratio
@@ -112,5 +149,17 @@
     expect,
     quantileMs: expect,
     remainingMs: (step, _workedMs, percent) => expect(step) * (1 - percent / FULL_PERCENT),
+    observeTask: () => undefined,
+    endTask: () => undefined,
+    remainingShare: (_step, _index, percent) => 1 - percent / FULL_PERCENT,
+    stepRemainingMs: expect,
+    longestMs: expect,
+    learned: () => ({ images: learned.size, observations: observationCount }),
+    heaviestTails: () => [],
   }
 }
+
+export const createDurations = (model: DurationModel = 'mean'): Durations => {
+  const mean = createMeanDurations()
+  return model === 'quantile' ? quantileDurations.createQuantileDurations(mean) : mean
+}
--- a/packages/workflow-scheduling/src/health.ts
+++ b/packages/workflow-scheduling/src/health.ts
@@ -12,6 +12,9 @@
 /** Longest quarantine before a worker is tried again. */
 const MAX_QUARANTINE_MS = 16_000
 
+/** Time after which an earlier quarantine for slowness no longer makes the next one longer. */
+const SLOW_QUARANTINE_MEMORY_MS = 60_000
+
 /** Time without new runs after a worker refused one because it lacks capacity or is unhealthy. */
 const REFUSAL_PAUSE_MS = 300
 
@@ -20,6 +23,9 @@
   /** Attempts behind the consecutive failures since the last quarantine; never more than `FAILURES_TO_QUARANTINE`. */
   readonly failedAttempts: Set<string>
   quarantineCount: number
+  /** Quarantines for slowness in a row, and the end of the latest one; runs complete there, which resets no count. */
+  slowQuarantineCount: number
+  slowUntilMs: number
   pausedUntilMs: number
 }
 
@@ -33,6 +39,8 @@
    * @param attempt names the run, the same for all members of a gang: it counts once for a worker
    */
   readonly recordFailure: (worker: string, nowMs: number, attempt: string) => void
+  /** Records that the runs of several jobs were slow there while their images ran at normal speed elsewhere. */
+  readonly recordSlowness: (worker: string, nowMs: number) => void
   /** Records that the worker refused to start a run. */
   readonly recordRefusal: (worker: string, nowMs: number) => void
   /** Whether new runs may start there at `nowMs`. */
@@ -51,6 +59,8 @@
       consecutiveFailures: 0,
       failedAttempts: new Set<string>(),
       quarantineCount: 0,
+      slowQuarantineCount: 0,
+      slowUntilMs: 0,
       pausedUntilMs: 0,
     }
     records.set(worker, known)
@@ -79,6 +89,14 @@
       record.consecutiveFailures = FAILURES_TO_QUARANTINE - 1
       record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + pauseMs)
     },
+    recordSlowness: (worker, nowMs) => {
+      const record = recordOf(worker)
+      if (nowMs - record.slowUntilMs > SLOW_QUARANTINE_MEMORY_MS) record.slowQuarantineCount = 0
+      const pauseMs = FIRST_QUARANTINE_MS * 2 ** record.slowQuarantineCount
+      record.slowQuarantineCount += 1
+      record.slowUntilMs = nowMs + Math.min(MAX_QUARANTINE_MS, pauseMs)
+      record.pausedUntilMs = Math.max(record.pausedUntilMs, record.slowUntilMs)
+    },
     recordRefusal: (worker, nowMs) => {
       const record = recordOf(worker)
       record.pausedUntilMs = Math.max(record.pausedUntilMs, nowMs + REFUSAL_PAUSE_MS)
--- a/packages/workflow-scheduling/src/order.ts
+++ b/packages/workflow-scheduling/src/order.ts
@@ -40,7 +40,7 @@
   queue: workflowState.JobView['queue'],
   expected: durations.Durations,
 ): number =>
-  Math.max(0, ...chainsToEnd(steps, expected.expect)) * queue.slackFactor + queue.latencyTargetMs
+  Math.max(0, ...chainsToEnd(steps, expected.longestMs)) * queue.slackFactor + queue.latencyTargetMs
 
 /** Wall-clock time at which the objective of an occurrence starts to count. */
 export const dueMs = (job: workflowState.JobView, occurrence: number): number =>
@@ -58,7 +58,7 @@
   const steps = job.occurrences.get(step.occurrence)?.steps ?? []
   const objective = objectiveMs(steps, job.queue, expected)
   const startMs = dueMs(job, step.occurrence)
-  const chain = chainsToEnd(steps, expected.expect)[step.index] ?? 0
+  const chain = chainsToEnd(steps, expected.stepRemainingMs)[step.index] ?? 0
   const latestStartMs = startMs + objective - chain
   const outlook = (): Outlook => {
     if (step.spec.lasting || nowMs <= latestStartMs) return 'in-time'
