--- a/packages/experiment/src/fillers/load.ts
+++ b/packages/experiment/src/fillers/load.ts
@@ -20,6 +20,10 @@
   readonly reserved: number
   /** Time in which jobs arrive. */
   readonly trafficMs: number
+  /** Share of the tasks that take `TAIL_FACTOR` times as long on any worker. @default 0 */
+  readonly tailShare?: number
+  /** Deviation of the logarithm of actual to estimated duration of short latency-critical steps. @default 0 */
+  readonly estimateSpread?: number
 }
 
 /** Long-running latency-critical, short latency-critical, and best-effort jobs. */
@@ -43,6 +47,9 @@
 const LATENCY_CRITICAL_IMAGE_COUNT = 10
 const BEST_EFFORT_IMAGE_COUNT = 18
 
+/** How many times as long the tasks of the tail take. */
+const TAIL_FACTOR = 7
+
 /** Share of all cores that short latency-critical tasks reserve. */
 const SHORT_LATENCY_CRITICAL_SHARE = 0.06
 
@@ -230,7 +237,30 @@
   })
 }
 
-export const drawLoad = (options: LoadOptions): readonly SimulatedJob[] => [
+/** Makes some tasks long, and estimates wrong, with random numbers of their own: the rest of the day stays the same. */
+const withTail = (options: LoadOptions): ((job: SimulatedJob) => SimulatedJob) => {
+  const { seed, tailShare = 0, estimateSpread = 0 } = options
+  const drawTail = random.createRandom(seed, 'tail')
+  const drawError = random.createRandom(seed, 'estimate')
+  return (job) => {
+    const steps = job.spec.steps.map((step) =>
+      job.kind === 'serving'
+        ? {
+            ...step,
+            estimatedMs: Math.round(
+              step.estimatedMs * random.drawFactor(drawError, estimateSpread),
+            ),
+          }
+        : step,
+    )
+    const workMs = job.workMs.map((tasks) =>
+      tasks.map((ms) => (drawTail() < tailShare ? ms * TAIL_FACTOR : ms)),
+    )
+    return { ...job, spec: { ...job.spec, steps }, workMs }
+  }
+}
+
+const drawNormalLoad = (options: LoadOptions): readonly SimulatedJob[] => [
   ...longRunningJobs(options),
   ...drawJobs('filling', options, options.demand, (draw) => {
     const isWide = draw() < 0.5
@@ -244,3 +274,6 @@
     ),
   ),
 ]
+
+export const drawLoad = (options: LoadOptions): readonly SimulatedJob[] =>
+  drawNormalLoad(options).map(withTail(options))
--- a/packages/experiment/src/fillers/main.ts
+++ b/packages/experiment/src/fillers/main.ts
@@ -23,6 +23,16 @@
     /** Tasks in a step; depends on the number of workers if 0. */
     width: { type: 'string', default: '0' },
     seconds: { type: 'string', default: '50' },
+    /** Share of the tasks that take seven times as long. */
+    tail: { type: 'string', default: '0' },
+    /** Deviation of the logarithm of actual to estimated duration of short latency-critical steps. */
+    spread: { type: 'string', default: '0' },
+    /** Models of task durations to compare, separated by commas. */
+    durations: { type: 'string', default: 'mean' },
+    /** Seconds between drains of workers; 0 for none. */
+    drains: { type: 'string', default: '0' },
+    /** Workers at a fifth of the speed. */
+    slow: { type: 'string', default: '0' },
   },
 })
 
@@ -30,6 +40,8 @@
 
 const percent = (share: number): string => `${Math.round(100 * share)}`
 
+const round = (number: number): string => number.toFixed(0)
+
 const rowOf = (name: string, seed: string, day: simulation.DayResult): string =>
   [
     name,
@@ -41,6 +53,11 @@
     ...SHARES.map((what) => percent(day.bestEffortTimeShares[what])),
     day.fullSpeedTasksPerWorker.toFixed(2),
     percent(day.onTimeWorkShare),
+    ...[day.callers.serving, day.callers.filling].map(({ inTime, late, open }) =>
+      [inTime, late, open].map(round).join('/'),
+    ),
+    `${round(day.wronglyQuarantined)}/${round(day.rightlyQuarantined)}`,
+    round(day.discardedCoreSeconds),
   ].join(' | ')
 
 const mean = (numbers: readonly number[]): number =>
@@ -48,6 +65,11 @@
 
 const meanDay = (days: readonly simulation.DayResult[]): simulation.DayResult => {
   const meanOf = (get: (day: simulation.DayResult) => number): number => mean(days.map(get))
+  const meanCallers = (kind: 'serving' | 'filling'): simulation.CallerResult => ({
+    inTime: meanOf(({ callers }) => callers[kind].inTime),
+    late: meanOf(({ callers }) => callers[kind].late),
+    open: meanOf(({ callers }) => callers[kind].open),
+  })
   return {
     bestEffortValue: meanOf((day) => day.bestEffortValue),
     longRunningValue: meanOf((day) => day.longRunningValue),
@@ -65,6 +87,10 @@
     },
     fullSpeedTasksPerWorker: meanOf((day) => day.fullSpeedTasksPerWorker),
     onTimeWorkShare: meanOf((day) => day.onTimeWorkShare),
+    callers: { serving: meanCallers('serving'), filling: meanCallers('filling') },
+    wronglyQuarantined: meanOf((day) => day.wronglyQuarantined),
+    rightlyQuarantined: meanOf((day) => day.rightlyQuarantined),
+    discardedCoreSeconds: meanOf((day) => day.discardedCoreSeconds),
   }
 }
 
@@ -78,6 +104,10 @@
   ...SHARES.map((what) => `${what} %`),
   'full-speed tasks per worker',
   'work in time %',
+  'serving in time/late/open',
+  'filling in time/late/open',
+  'quarantined wrongly/rightly',
+  'core-seconds discarded',
 ]
 
 const writeRow = (line: string): void => {
@@ -85,6 +115,15 @@
 }
 
 const selectedVariants = variants.VARIANTS.filter(({ name }) => name.includes(values.variant))
+const comparisons = selectedVariants.flatMap((variant) =>
+  values.durations
+    .split(',')
+    .map((model) => [variant, model === 'quantile' ? 'quantile' : 'mean'] as const),
+)
+
+const nameOf = ({ name }: variants.Variant, durationModel: string): string =>
+  durationModel === 'mean' ? name : `${name}, ${durationModel}`
+
 for (const workers of values.workers.split(',').map(Number)) {
   const isLarge = workers >= LARGE_DEPLOYMENT_WORKERS
   const width = Number(values.width) || (isLarge ? LARGE_WIDTH : SMALL_WIDTH)
@@ -93,7 +132,7 @@
   )
   writeRow(HEADER.join(' | '))
   writeRow(HEADER.map(() => '---').join(' | '))
-  for (const variant of selectedVariants) {
+  for (const [variant, durationModel] of comparisons) {
     const days: simulation.DayResult[] = []
     for (let seed = 1; seed <= Number(values.seeds); seed += 1) {
       const day = await simulation.simulateDay({
@@ -106,10 +145,15 @@
         reserved: Number(values.reserved),
         trafficMs: Number(values.seconds) * 1_000,
         variant,
+        durationModel,
+        tailShare: Number(values.tail),
+        estimateSpread: Number(values.spread),
+        drainIntervalMs: Number(values.drains) * 1_000,
+        slowWorkers: Number(values.slow),
       })
       days.push(day)
-      writeRow(rowOf(variant.name, String(seed), day))
+      writeRow(rowOf(nameOf(variant, durationModel), String(seed), day))
     }
-    writeRow(rowOf(variant.name, 'mean', meanDay(days)))
+    writeRow(rowOf(nameOf(variant, durationModel), 'mean', meanDay(days)))
   }
 }
--- a/packages/experiment/src/fillers/simulation.ts
+++ b/packages/experiment/src/fillers/simulation.ts
@@ -28,8 +28,28 @@
 /** Time after the end of the traffic in which jobs may still complete. */
 const COOL_DOWN_MS = 10_000
 
+/** Time between the announcement of a drain and the loss of the worker's runs. */
+const DRAIN_MS = 2_500
+
+/** Speed of a slow worker relative to the others. */
+const SLOW_SPEED = 0.2
+
 export interface DayOptions extends load.LoadOptions {
   readonly variant: variants.Variant
+  /** @default 'mean' */
+  readonly durationModel?: workflowControl.DurationModelName
+  /** Interval at which one worker after the other drains, in milliseconds; 0 for never. @default 0 */
+  readonly drainIntervalMs?: number
+  /** Number of workers that run their tasks at a fifth of the speed. @default 0 */
+  readonly slowWorkers?: number
+}
+
+/** What callers of one kind of job got. */
+export interface CallerResult {
+  readonly inTime: number
+  readonly late: number
+  /** Not completed by the end of the day. */
+  readonly open: number
 }
 
 export interface DayResult {
@@ -46,6 +66,12 @@
   readonly fullSpeedTasksPerWorker: number
   /** Share of all best-effort work that belongs to jobs which completed within their objective. */
   readonly onTimeWorkShare: number
+  readonly callers: Readonly<Record<'serving' | 'filling', CallerResult>>
+  /** Workers of normal speed, and slow ones, that got no new runs for some time for the outcomes of runs there. */
+  readonly wronglyQuarantined: number
+  readonly rightlyQuarantined: number
+  /** Time in core-seconds of runs that ended before their task was done and that no checkpoint covers. */
+  readonly discardedCoreSeconds: number
 }
 
 const createSilentLogger = () => {
@@ -82,8 +108,48 @@
 const median = (numbers: readonly number[]): number =>
   [...numbers].sort((a, b) => a - b)[Math.floor(numbers.length / 2)] ?? Number.NaN
 
+/** Policies whose health record reports each worker that gets no new runs. */
+const withQuarantineObserver = (
+  policies: workflowControl.TermPolicies,
+  onQuarantine: (worker: string) => void,
+): workflowControl.TermPolicies => ({
+  ...policies,
+  createHealth: () => {
+    const health = policies.createHealth()
+    return {
+      ...health,
+      accepts: (worker, nowMs) => {
+        const isAccepted = health.accepts(worker, nowMs)
+        if (!isAccepted) onQuarantine(worker)
+        return isAccepted
+      },
+    }
+  },
+})
+
+const countQuarantined = (quarantined: ReadonlySet<string>, slowWorkers: number) => {
+  const slow = Array.from({ length: slowWorkers }, (_, index) => `w${index}`)
+  const rightlyQuarantined = slow.filter((worker) => quarantined.has(worker)).length
+  return { rightlyQuarantined, wronglyQuarantined: quarantined.size - rightlyQuarantined }
+}
+
+const callerResult = (
+  jobs: readonly load.SimulatedJob[],
+  endedMs: ReadonlyMap<string, number>,
+): CallerResult => {
+  const completed = jobs.filter(({ spec }) => endedMs.has(spec.id))
+  const inTime = completed.filter(
+    (job) => (endedMs.get(job.spec.id) ?? 0) - job.atMs <= jobValue.objectiveMs(job),
+  )
+  return {
+    inTime: inTime.length,
+    late: completed.length - inTime.length,
+    open: jobs.length - completed.length,
+  }
+}
+
 export const simulateDay = async (options: DayOptions): Promise<DayResult> => {
-  const { seed, variant, cores, trafficMs } = options
+  const { seed, variant, cores, trafficMs, slowWorkers = 0, drainIntervalMs = 0 } = options
   const clock = simulatedClock.createSimulatedClock()
   const { nowMs } = clock
   const state = workflowState.createWorkflowState()
@@ -94,6 +160,8 @@
   const workByJobMs = new Map<string, number>()
   const workStatistics = createSimulatedWorkStatistics(nowMs, options.workers)
   let underTargetCount = 0
+  let discardedCpuMs = 0
+  const quarantined = new Set<string>()
   let longRunningSampleCount = 0
 
   const apply = (body: protocol.workflow.WorkflowCommand['body']): workflowState.Outcome =>
@@ -111,6 +179,10 @@
       options: {
         logger: createSilentLogger(),
         timing: workflowControl.resolveTiming({ maxLeaseMs: MAX_LEASE_MS }).unwrap(),
+        scheduling: {
+          ...workflowControl.DEFAULT_SCHEDULING_OPTIONS,
+          durationModel: options.durationModel ?? 'mean',
+        },
       },
       view: state.view,
       nowMs,
@@ -121,7 +193,9 @@
     },
     TERM,
     undefined,
-    variants.policiesOf(variant),
+    withQuarantineObserver(variants.policiesOf(variant), (worker) => {
+      quarantined.add(worker)
+    }),
   )
 
   const workloadOf = (run: protocol.workflow.TaskRun): workers.TaskWorkload => {
@@ -139,12 +213,16 @@
       index,
       seed,
       cores,
+      speed: index < slowWorkers ? SLOW_SPEED : 1,
       interferenceOf,
       workloadOf,
       nowMs,
       after: clock.after,
       observer: {
         onBestEffortWork: (job, ms) => workByJobMs.set(job, (workByJobMs.get(job) ?? 0) + ms),
+        onDiscarded: (cpuMs) => {
+          discardedCpuMs += cpuMs
+        },
         onBestEffortStart: (job) => startedMs.set(job, startedMs.get(job) ?? nowMs()),
       },
     })
@@ -168,10 +246,17 @@
     })
     return worker
   })
+  if (drainIntervalMs > 0) {
+    let drains = 0
+    clock.every(drainIntervalMs, () => {
+      simulatedWorkers[drains % simulatedWorkers.length]?.drain(DRAIN_MS)
+      drains += 1
+    })
+  }
   clock.every(STEP_MS, () => {
     for (const worker of simulatedWorkers) worker.step(STEP_MS)
     for (const job of jobs) {
-      if (job.kind !== 'filling' || endedMs.has(job.spec.id)) continue
+      if (job.kind === 'lasting' || endedMs.has(job.spec.id)) continue
       if (state.view.jobs.get(job.spec.id)?.phase === 'completed') endedMs.set(job.spec.id, nowMs())
     }
   })
@@ -235,6 +320,15 @@
       lost: shareOf(bestEffortMs.lost),
     },
     fullSpeedTasksPerWorker: workInTrafficMs / trafficMs / options.workers,
+    callers: {
+      serving: callerResult(
+        jobs.filter(({ kind }) => kind === 'serving'),
+        endedMs,
+      ),
+      filling: callerResult(eligibleJobs, endedMs),
+    },
+    ...countQuarantined(quarantined, slowWorkers),
+    discardedCoreSeconds: discardedCpuMs / 1_000,
     onTimeWorkShare: onTimeWork.reduce((sum, [, ms]) => sum + ms, 0) / Math.max(1, totalWorkMs),
   }
 }
--- a/packages/experiment/src/fillers/worker.ts
+++ b/packages/experiment/src/fillers/worker.ts
@@ -59,10 +59,14 @@
   /** Full-speed work that a best-effort task did, in milliseconds. */
   readonly onBestEffortWork: (job: string, ms: number) => void
   readonly onBestEffortStart: (job: string) => void
+  /** CPU time of a run that ended before its task was done, as far as no checkpoint covers it. */
+  readonly onDiscarded: (cpuMs: number) => void
 }
 
 export interface SimulatedWorker {
   readonly description: protocol.workflow.WorkerDescription
+  /** Announces the loss of all runs after `forMs`; they are lost then, and the worker returns. */
+  readonly drain: (forMs: number) => void
   readonly handleOrders: (orders: protocol.workflow.WorkerOrders) => void
   /** Advances all tasks by `elapsedMs`. */
   readonly step: (elapsedMs: number) => void
@@ -75,6 +79,8 @@
   readonly index: number
   readonly seed: number
   readonly cores: 16 | 32
+  /** Speed of its tasks that are not long-running, relative to other workers. */
+  readonly speed: number
   readonly interferenceOf: interference.TrueInterference
   readonly workloadOf: (run: TaskRun) => TaskWorkload
   readonly nowMs: () => number
@@ -100,6 +106,7 @@
   let ended: protocol.workflow.ListedEnd[] = []
   let endNumber = 0
   let sequence = 0
+  let drainedMs: number | undefined
 
   const start = ({ run, checkpoint, pacePercent }: protocol.workflow.StartOrder): void => {
     if (run === undefined || running.has(workflowState.runKey(run))) return
@@ -128,10 +135,17 @@
   const checkpointOf = ({ checkpointedMs }: SimulatedTask): string =>
     checkpointedMs > 0 ? String(checkpointedMs) : ''
 
+  const cpuClaimOf = ({ workload }: SimulatedTask): number =>
+    workflowState.claimOf(workload.step).cpuMillis
+
   const end = (task: SimulatedTask, kind: protocol.workflow.EndKind): void => {
     if (task.workload.step.checkpointing && kind === EndKind.STOPPED)
       task.checkpointedMs = task.doneMs
     running.delete(workflowState.runKey(task.run))
+    const discardedMs = task.doneMs - task.checkpointedMs
+    if (kind !== EndKind.COMPLETED) {
+      observer.onDiscarded((discardedMs * cpuClaimOf(task)) / 1_000)
+    }
     endNumber += 1
     const listed = { run: task.run, kind, checkpoint: checkpointOf(task) }
     ended.push({ number: endNumber, end: listed })
@@ -143,9 +157,6 @@
 
   const isLatencyCritical = ({ workload }: SimulatedTask): boolean => workload.step.tailTargetMs > 0
 
-  const cpuClaimOf = ({ workload }: SimulatedTask): number =>
-    workflowState.claimOf(workload.step).cpuMillis
-
   /** Distributes the CPU that other tasks leave unused to best-effort tasks, in proportion to claim and pace. */
   const distributeCpu = (tasks: readonly SimulatedTask[]): void => {
     let availableMillis = cores * 1_000
@@ -187,7 +198,9 @@
     const { step, workMs } = task.workload
     if (step.lasting) return
     const doneMs =
-      elapsedMs * (step.filling ? task.usedCpuMillis / Math.max(1, cpuClaimOf(task)) : 1)
+      options.speed *
+      elapsedMs *
+      (step.filling ? task.usedCpuMillis / Math.max(1, cpuClaimOf(task)) : 1)
     const leftMs = workMs - task.doneMs
     if (step.filling) observer.onBestEffortWork(task.run.job, Math.min(doneMs, leftMs))
     task.doneMs += doneMs
@@ -207,6 +220,13 @@
 
   return {
     description,
+    drain: (forMs) => {
+      drainedMs = nowMs() + forMs
+      options.after(forMs, () => {
+        drainedMs = undefined
+        for (const task of [...running.values()]) end(task, EndKind.LOST)
+      })
+    },
     handleOrders: ({ starts, stops, paces, acknowledgedEnd }) => {
       ended = ended.filter(({ number }) => number > acknowledgedEnd)
       for (const order of starts) start(order)
@@ -239,8 +259,8 @@
         agent: `a${index}`,
         sequence,
         worker: description,
-        draining: false,
-        drainRemainingMs: 0,
+        draining: drainedMs !== undefined,
+        drainRemainingMs: Math.max(0, (drainedMs ?? 0) - nowMs()),
         clockMs: nowMs(),
         sample: sequence,
         running: [...running.values()].map((task) => ({
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -126,7 +126,7 @@
   /** Latest check for runs to stop of each session. */
   const checked = new WeakMap<sessions.WorkerSession, RunCheck>()
   const stalledRuns = new Set<string>()
-  const health = scheduling.createHealth()
+  const health = policies.createHealth()
   const durationModel = ctx.options.scheduling?.durationModel ?? 'mean'
   const durations = policies.createDurations(durationModel)
   const durationLog = durationLogs.createDurationLog({ logger, durations, nowMs })
--- a/packages/workflow-control/src/termPolicies.ts
+++ b/packages/workflow-control/src/termPolicies.ts
@@ -5,6 +5,7 @@
 
 export interface TermPolicies {
   readonly createInterferenceModel: typeof scheduling.createInterferenceModel
+  readonly createHealth: typeof scheduling.createHealth
   readonly createDurations: typeof scheduling.createDurations
   readonly createBestEffortRanks: typeof bestEffortRanks.createBestEffortRanks
   readonly createBestEffortPacing: typeof bestEffortPacing.createBestEffortPacing
@@ -14,6 +15,7 @@
 
 export const DEFAULT_TERM_POLICIES: TermPolicies = {
   createInterferenceModel: scheduling.createInterferenceModel,
+  createHealth: scheduling.createHealth,
   createDurations: scheduling.createDurations,
   createBestEffortRanks: bestEffortRanks.createBestEffortRanks,
   createBestEffortPacing: bestEffortPacing.createBestEffortPacing,
