--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -183,7 +183,8 @@
       job: step.job.spec.id,
       image: step.spec.image === '' ? step.job.queue.name : step.spec.image,
       relativeDuration: durationMs / durations.quantileMs(step, MEDIAN),
-      atMs: nowMs(),
+      startedMs: nowMs() - durationMs,
+      endedMs: nowMs(),
     })
     if (!isEvidence) return
     logger.warn('worker is slow', { worker: worker.id, durationMs: Math.round(durationMs) })
--- a/packages/workflow-scheduling/__tests__/slowWorkers.spec.ts
+++ b/packages/workflow-scheduling/__tests__/slowWorkers.spec.ts
@@ -20,7 +20,8 @@
         job: jobOf(index, run),
         image: `i${run % 3}`,
         relativeDuration: relativeOf(index, run),
-        atMs: run * 1_000,
+        startedMs: run * 1_000,
+        endedMs: run * 1_000 + relativeOf(index, run) * 1_000,
       })
       if (isEvidence) found.add(worker)
     }
@@ -73,13 +74,43 @@
   it('guards against evidence that is older than half a minute', () => {
     const slowWorkers = scheduling.createSlowWorkers()
     const observe = (worker: string, relativeDuration: number, atMs: number): boolean =>
-      slowWorkers.observe({ worker, job: `${worker} ${atMs}`, image: 'i', relativeDuration, atMs })
+      slowWorkers.observe({
+        worker,
+        job: `${worker} ${atMs}`,
+        image: 'i',
+        relativeDuration,
+        startedMs: atMs - relativeDuration * 1_000,
+        endedMs: atMs,
+      })
     for (let run = 0; run < 20; run += 1) observe('other', 1, run)
     const found = Array.from({ length: 20 }, (_, run) => observe('w', 5, run * 10_000))
     expect(found).not.toContain(true)
   })
 })
 
+describe('evidence after a burst', () => {
+  // Guards against the quarantine of a healthy worker on which only the long tasks of a burst are left.
+  it('does not consist of the long tasks that end last', () => {
+    const slowWorkers = scheduling.createSlowWorkers()
+    const observe = (worker: string, job: string, startedMs: number, durationMs: number): boolean =>
+      slowWorkers.observe({
+        worker,
+        job,
+        image: 'i',
+        relativeDuration: durationMs / 1_000,
+        startedMs,
+        endedMs: startedMs + durationMs,
+      })
+    const found: boolean[] = []
+    for (let run = 0; run < 60; run += 1) {
+      found.push(observe('other', `o${run}`, run * 100, 1_000))
+      if (run % 10 !== 0) found.push(observe('w', `j${run}`, run * 100, 1_000))
+    }
+    for (let run = 0; run < 60; run += 10) found.push(observe('w', `j${run}`, run * 100, 7_000))
+    expect(found).not.toContain(true)
+  })
+})
+
 describe('health of a slow worker', () => {
   it('is quarantined at once, longer each time, although runs complete in between', () => {
     const health = scheduling.createHealth()
--- a/packages/workflow-scheduling/src/slowWorkers.ts
+++ b/packages/workflow-scheduling/src/slowWorkers.ts
@@ -6,7 +6,10 @@
 /** A run is slow if it takes this multiple of its median duration. */
 const SLOW_FACTOR = 3
 
-/** Latest jobs of a worker that count. */
+/**
+ * Jobs of a worker that count: those that started last there. By the time of completion, only long tasks would be left
+ * after a burst, which made a healthy worker look slow.
+ */
 const JOBS_CONSIDERED = 8
 
 /**
@@ -15,7 +18,7 @@
  */
 const MIN_SLOW_JOBS = 6
 
-/** Age after which a run no longer counts, in milliseconds: load and data placement change within half a minute. */
+/** Time after its start from which a run no longer counts, in milliseconds: load and data placement change within half a minute. */
 const MAX_RUN_AGE_MS = 30_000
 
 /** Latest runs of an image that show its speed elsewhere, and the fewest of other workers that suffice. */
@@ -35,14 +38,15 @@
   readonly image: string
   /** Actual duration as a multiple of the median duration. */
   readonly relativeDuration: number
-  readonly atMs: number
+  readonly startedMs: number
+  readonly endedMs: number
 }
 
 interface JobOnWorker {
   readonly image: string
   /** Whether every run of the job there was slow. */
   readonly isSlow: boolean
-  readonly atMs: number
+  readonly startedMs: number
 }
 
 interface RunOfImage {
@@ -82,11 +86,14 @@
   }
 
   const recordOnWorker = (run: CompletedRun, isSlow: boolean): Map<string, JobOnWorker> => {
-    const jobs = jobsByWorker.get(run.worker) ?? new Map<string, JobOnWorker>()
-    for (const [job, { atMs }] of jobs) if (run.atMs - atMs > MAX_RUN_AGE_MS) jobs.delete(job)
-    const isAllSlow = isSlow && (jobs.get(run.job)?.isSlow ?? true)
-    const known = { image: run.image, isSlow: isAllSlow, atMs: run.atMs }
-    setNewest(jobs, run.job, known, JOBS_CONSIDERED)
+    const known = new Map(jobsByWorker.get(run.worker))
+    const isAllSlow = isSlow && (known.get(run.job)?.isSlow ?? true)
+    known.set(run.job, { image: run.image, isSlow: isAllSlow, startedMs: run.startedMs })
+    const latest = [...known]
+      .filter(([, { startedMs }]) => run.endedMs - startedMs <= MAX_RUN_AGE_MS)
+      .sort(([, a], [, b]) => b.startedMs - a.startedMs)
+      .slice(0, JOBS_CONSIDERED)
+    const jobs = new Map(latest)
     setNewest(jobsByWorker, run.worker, jobs, MAX_WORKERS)
     return jobs
   }
