--- a/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
@@ -27,9 +27,9 @@
 }
 
 /** One worker with CPU for four best-effort tasks, and the ranks of submitted jobs. */
-const createCell = () => {
+const createCell = (model?: scheduling.DurationModel) => {
   const state = workflowState.createWorkflowState()
-  const expected = scheduling.createDurations()
+  const expected = scheduling.createDurations(model)
   const progress = runProgress.createRunProgress(expected)
   const submittedMs = Date.now()
   let nowMs = 0
@@ -78,9 +78,32 @@
     progress.update({ step, task }, listed, workflowState.runKey(run), nowMs)
     progress.remove(run, true)
   }
+  /** Reports the progress of a run that needs `totalMs`, every half second until it is `untilPercent` done. */
+  const runTask = (
+    step: workflowState.StepView,
+    index: number,
+    totalMs: number,
+    untilPercent: number,
+  ): void => {
+    const run = { job: step.job.spec.id, occurrence: 0, step: 0, index, run: 1 }
+    const task = step.tasks[index]
+    if (task === undefined) throw new Error('no task')
+    for (let atMs = 0; atMs <= (totalMs * untilPercent) / 100; atMs += 500) {
+      const progressPercent = Math.floor((100 * atMs) / totalMs)
+      const listed = protocol.workflow.RunningTask.fromPartial({
+        run,
+        progressPercent,
+        pacePercent: 100,
+      })
+      progress.update({ step, task }, listed, workflowState.runKey(run), 10_000 + atMs)
+    }
+    // A task that stopped with a checkpoint keeps its progress.
+    progress.remove(run, true)
+  }
   return {
     ranks,
     submit,
+    runTask,
     stopAt,
     /** Observes that a task of the step takes `taskMs` at full speed. */
     observeTask: (step: workflowState.StepView, taskMs: number) => {
@@ -138,6 +161,22 @@
     expect(rankings()).toBe(1)
   })
 
+  // By the mean, less work is left of the first job, one task of which is long by itself.
+  it.each([
+    { model: 'mean', first: 'long' },
+    { model: 'quantile', first: 'usual' },
+  ] as const)('ranks by the own speed of a long task: $model, $first first', ({ model, first }) => {
+    const { ranks, submit, runTask, observeTask } = createCell(model)
+    const long = submit('long', 2, 1_000)
+    const usual = submit('usual', 2, 900)
+    for (const step of [long, usual])
+      for (let seen = 0; seen < 200; seen += 1) observeTask(step, 2_000)
+    runTask(long, 0, 28_000, 40)
+    runTask(usual, 0, 2_000, 25)
+    const rankOf = { long: ranks.rankOf(long), usual: ranks.rankOf(usual) }
+    expect(rankOf[first]).toBe(0)
+  })
+
   it('guards against chosen jobs beyond the supply', () => {
     const { ranks, submit } = createCell()
     const first = submit('first', 4)
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -5,6 +5,7 @@
 import * as vitest from 'vitest'
 import type * as context from '../src/context.js'
 import * as leaderTerm from '../src/leaderTerm.js'
+import * as schedulingOptions from '../src/schedulingOptions.js'
 import * as timing from '../src/timing.js'
 import * as workStatistics from '../src/workStatistics.js'
 import type * as workerSession from '../src/workerSession.js'
@@ -33,9 +34,12 @@
   readonly bornMs?: number
   readonly running?: readonly string[]
   readonly percent?: number
+  /** Progress of single runs, by run key; `percent` for the others. */
+  readonly percents?: Readonly<Record<string, number>>
   readonly ended?: readonly (readonly [number, string, protocol.workflow.EndKind])[]
   readonly rejected?: readonly (readonly [string, protocol.workflow.RejectionReason])[]
   readonly draining?: boolean
+  readonly drainRemainingMs?: number
   /** Whether the report carries no new run list. */
   readonly stale?: boolean
   /** Whether the worker has not listed its runs as this incarnation yet. */
@@ -68,7 +72,7 @@
 }
 
 /** Leader's term over a state machine that commits immediately, with a clock that the test advances. */
-export const createTermHarness = () => {
+export const createTermHarness = (scheduling?: Partial<schedulingOptions.SchedulingOptions>) => {
   vitest.vi.useFakeTimers()
   const state = workflowState.createWorkflowState()
   const logs: LogLine[] = []
@@ -104,6 +108,10 @@
       timing: timing.resolveTiming({ maxLeaseMs: LEASE_MS }).unwrap(),
       statusRetentionMs: 120_000,
       logger,
+      scheduling: scheduling && {
+        ...schedulingOptions.DEFAULT_SCHEDULING_OPTIONS,
+        ...scheduling,
+      },
     },
     replica: {} as context.ControlContext['replica'],
     view: state.view,
@@ -170,13 +178,13 @@
           capacity: { cpuMillis: 4_000, memoryMb: 1_000, accelerators: 0 },
         },
         draining: fields.draining ?? false,
-        drainRemainingMs: 0,
+        drainRemainingMs: fields.drainRemainingMs ?? 0,
         clockMs: Math.round(nowMs()),
         sample: fields.unlisted === true ? 0 : sample,
         running: (fields.running ?? []).map((key) => ({
           run: parseRun(key),
           checkpoint: '',
-          progressPercent: fields.percent ?? 0,
+          progressPercent: fields.percents?.[key] ?? fields.percent ?? 0,
           figure: 0,
           pacePercent: 100,
         })),
