fix(workflow-scheduling): the own rate of a best-effort task counts only if it is long

Best-effort tasks on crowded workers share CPUs, so their own rates vary without being long.

The experiment can wait longer for the last jobs: a task of 21 s does not end within 10 s after the traffic.

--- a/packages/experiment/src/fillers/main.ts
+++ b/packages/experiment/src/fillers/main.ts
@@ -27,6 +27,8 @@
     tail: { type: 'string', default: '0' },
     /** Deviation of the logarithm of actual to estimated duration of short latency-critical steps. */
     spread: { type: 'string', default: '0' },
+    /** Seconds after the traffic in which jobs may still complete. */
+    cooldown: { type: 'string', default: '10' },
     /** Models of task durations to compare, separated by commas. */
     durations: { type: 'string', default: 'mean' },
     /** Seconds between drains of workers; 0 for none. */
@@ -146,6 +148,7 @@
         trafficMs: Number(values.seconds) * 1_000,
         variant,
         durationModel,
+        coolDownMs: Number(values.cooldown) * 1_000,
         tailShare: Number(values.tail),
         estimateSpread: Number(values.spread),
         drainIntervalMs: Number(values.drains) * 1_000,
--- a/packages/experiment/src/fillers/simulation.ts
+++ b/packages/experiment/src/fillers/simulation.ts
@@ -25,7 +25,7 @@
 /** Planning time for each pair of an examined task and a worker. */
 const PLANNING_MS_PER_TASK_AND_WORKER = 0.001
 
-/** Time after the end of the traffic in which jobs may still complete. */
+/** Default of `DayOptions.coolDownMs`. */
 const COOL_DOWN_MS = 10_000
 
 /** Time between the announcement of a drain and the loss of the worker's runs. */
@@ -38,6 +38,8 @@
   readonly variant: variants.Variant
   /** @default 'mean' */
   readonly durationModel?: workflowControl.DurationModelName
+  /** Time after the end of the traffic in which jobs may still complete; long tasks need more of it. */
+  readonly coolDownMs?: number
   /** Interval at which one worker after the other drains, in milliseconds; 0 for never. @default 0 */
   readonly drainIntervalMs?: number
   /** Number of workers that run their tasks at a fifth of the speed. @default 0 */
@@ -150,6 +152,7 @@
 
 export const simulateDay = async (options: DayOptions): Promise<DayResult> => {
   const { seed, variant, cores, trafficMs, slowWorkers = 0, drainIntervalMs = 0 } = options
+  const { coolDownMs = COOL_DOWN_MS } = options
   const clock = simulatedClock.createSimulatedClock()
   const { nowMs } = clock
   const state = workflowState.createWorkflowState()
@@ -287,7 +290,7 @@
   await clock.runUntil(endMs)
   const { bestEffortMs } = workStatistics.totals()
   const workInTrafficMs = [...workByJobMs.values()].reduce((sum, ms) => sum + ms, 0)
-  await clock.runUntil(endMs + COOL_DOWN_MS)
+  await clock.runUntil(endMs + coolDownMs)
   term.stop()
 
   const eligibleJobs = jobValue.eligibleJobs(jobs, trafficMs)
@@ -306,7 +309,7 @@
     bestEffortValue: jobValue.bestEffortValue(eligibleJobs, endedMs),
     longRunningValue: underTargetCount / Math.max(1, longRunningSampleCount),
     firstTaskMs: median(
-      eligibleJobs.map(({ spec, atMs }) => (startedMs.get(spec.id) ?? endMs + COOL_DOWN_MS) - atMs),
+      eligibleJobs.map(({ spec, atMs }) => (startedMs.get(spec.id) ?? endMs + coolDownMs) - atMs),
     ),
     eligible: eligibleJobs.length,
     completed: eligibleJobs.filter(({ spec }) => endedMs.has(spec.id)).length,
--- a/packages/workflow-scheduling/src/quantileDurations.ts
+++ b/packages/workflow-scheduling/src/quantileDurations.ts
@@ -82,10 +82,17 @@
     return (workedMs * left) / percent
   }
 
+  /**
+   * Whether the rate of a task is its own. A best-effort task also slows down beside others on the same CPUs, which the
+   * mean of its step averages out; only one that is far slower is long.
+   */
+  const isOwnSpeed = (step: StepView, totalMs: number): boolean =>
+    !step.spec.filling || totalMs >= LONG_TASK_FACTOR * expect(step)
+
   const taskRemainingMs = (step: StepView, index: number, percent: number): number => {
     const left = Math.max(0, 1 - percent / FULL_PERCENT)
     const totalMs = rates.totalMs(step, index)
-    if (totalMs !== undefined) return totalMs * left
+    if (totalMs !== undefined && isOwnSpeed(step, totalMs)) return totalMs * left
     // The elapsed time of a best-effort task includes pauses, and a percentage may stem from a checkpoint.
     const isTimeKnown = !step.spec.filling && percent < MIN_RATE_PERCENT
     return isTimeKnown
