--- a/packages/experiment/__tests__/fillers.spec.ts
+++ b/packages/experiment/__tests__/fillers.spec.ts
@@ -9,7 +9,11 @@
 /** A day of a large fleet takes several seconds of processor time. */
 const LARGE_FLEET_TIMEOUT_MS = 120_000
 
-const simulateVariant = (name: string, seed: number, fields: Partial<load.LoadOptions> = {}) => {
+const simulateVariant = (
+  name: string,
+  seed: number,
+  fields: Partial<simulation.DayOptions> = {},
+) => {
   const variant = variants.VARIANTS.find((one) => one.name === name)
   if (variant === undefined) throw new Error('no policy variant has this name')
   return simulation.simulateDay({
@@ -71,6 +75,66 @@
     },
   )
 
+  describe('durations with a tail of 3 % at seven times, and estimates off by half', () => {
+    const tailedDay: Partial<simulation.DayOptions> = {
+      workers: 24,
+      width: 8,
+      demand: 0.25,
+      reserved: 0.5,
+      trafficMs: 40_000,
+      coolDownMs: 40_000,
+      tailShare: 0.03,
+      estimateSpread: 0.5,
+    }
+    const daysOf = (
+      durationModel: simulation.DayOptions['durationModel'],
+      fields: Partial<simulation.DayOptions>,
+    ): Promise<readonly simulation.DayResult[]> =>
+      Promise.all(
+        [1, 2, 3].map((seed) =>
+          simulateVariant('as it is', seed, { ...tailedDay, ...fields, durationModel }),
+        ),
+      )
+    const sumOf = (
+      days: readonly simulation.DayResult[],
+      get: (day: simulation.DayResult) => number,
+    ): number => days.reduce((sum, day) => sum + get(day), 0)
+
+    test('the mean is the default', async () => {
+      const day = await simulateVariant('as it is', 1, tailedDay)
+      expect(await simulateVariant('as it is', 1, { ...tailedDay, durationModel: 'mean' })).toEqual(
+        day,
+      )
+    })
+
+    // Guards against callers that wait for a slow worker, and against its long runs that are lost in a drain.
+    test(
+      'with slow and draining workers, quantiles find the slow ones and serve more callers in time',
+      { timeout: LARGE_FLEET_TIMEOUT_MS },
+      async () => {
+        const trouble = { slowWorkers: 2, drainIntervalMs: 4_000 }
+        const mean = await daysOf('mean', trouble)
+        const quantile = await daysOf('quantile', trouble)
+        const inTime = (day: simulation.DayResult): number => day.callers.serving.inTime
+        expect(sumOf(quantile, inTime)).toBeGreaterThan(sumOf(mean, inTime))
+        expect(sumOf(mean, (day) => day.rightlyQuarantined)).toBe(0)
+        for (const day of quantile) expect(day.rightlyQuarantined).toBeGreaterThan(0)
+        expect(sumOf(quantile, (day) => day.wronglyQuarantined)).toBe(0)
+      },
+    )
+
+    // Guards against long tasks that are taken for failures of their workers.
+    test(
+      'with equal workers, quantiles quarantine none of them and no callers are late',
+      { timeout: LARGE_FLEET_TIMEOUT_MS },
+      async () => {
+        const days = await daysOf('quantile', {})
+        expect(sumOf(days, (day) => day.wronglyQuarantined)).toBe(0)
+        for (const { callers } of days) expect(callers.serving).toMatchObject({ late: 0, open: 0 })
+      },
+    )
+  })
+
   test('a late job earns a reduced value, and none after three times its objective', () => {
     const job: load.SimulatedJob = {
       kind: 'filling',
