--- a/packages/workflow-control/__tests__/durationModel.spec.ts
+++ b/packages/workflow-control/__tests__/durationModel.spec.ts
@@ -65,15 +65,37 @@
 
 describe('runs that are long by themselves', () => {
   // Guards against discarded work: a pause in the progress of a long task is as likely on any other worker.
+  it.each([
+    { model: 'mean', percent: 10, pauseMs: 6_000, stopCount: 1 },
+    { model: 'quantile', percent: 10, pauseMs: 6_000, stopCount: 0 },
+    { model: 'quantile', percent: 10, pauseMs: 24_000, stopCount: 1 },
+    // After 2 % its own rate is not known, only the tail of the image.
+    { model: 'mean', percent: 2, pauseMs: 6_000, stopCount: 1 },
+    { model: 'quantile', percent: 2, pauseMs: 6_000, stopCount: 0 },
+    { model: 'quantile', percent: 2, pauseMs: 24_000, stopCount: 1 },
+  ] as const)(
+    '$model: a run of an image with a tail that pauses for $pauseMs ms at $percent % is stopped $stopCount times',
+    async ({ model, percent, pauseMs, stopCount }) => {
+      const { harness: term, agent } = await createLearnedTerm(model)
+      term.submit('j', [{ estimatedMs: 1_000, image: 'i' }])
+      await settle()
+      await runTask(agent, 'j.0.0.0#1', LONG_MS, percent, (LONG_MS * percent) / 100 + pauseMs)
+      expect(new Set(agent.stops()).size).toBe(stopCount)
+    },
+  )
+
+  // Guards the same for the first task of an image, of which only its own rate is known.
   it.each([
     { model: 'mean', pauseMs: 6_000, stopCount: 1 },
     { model: 'quantile', pauseMs: 6_000, stopCount: 0 },
     { model: 'quantile', pauseMs: 24_000, stopCount: 1 },
   ] as const)(
-    '$model: a run of an image with a tail that pauses for $pauseMs ms is stopped $stopCount times',
+    '$model: a run of an unknown image that pauses for $pauseMs ms is stopped $stopCount times',
     async ({ model, pauseMs, stopCount }) => {
-      const { harness: term, agent } = await createLearnedTerm(model)
-      term.submit('j', [{ estimatedMs: 1_000, image: 'i' }])
+      harness = harnesses.createTermHarness({ durationModel: model })
+      const agent = harness.attach('w')
+      agent.report()
+      harness.submit('j', [{}])
       await settle()
       await runTask(agent, 'j.0.0.0#1', LONG_MS, 10, LONG_MS / 10 + pauseMs)
       expect(new Set(agent.stops()).size).toBe(stopCount)
--- a/packages/workflow-scheduling/__tests__/quantileDurations.spec.ts
+++ b/packages/workflow-scheduling/__tests__/quantileDurations.spec.ts
@@ -157,6 +157,15 @@
     expect(durations.learned()).toEqual({ images: 1, observations: 30 })
   })
 
+  it('guards against cached quantiles that later observations do not change', () => {
+    const { view } = createStep()
+    const durations = scheduling.createDurations('quantile')
+    for (let run = 0; run < 10; run += 1) durations.observe(view, 1_000)
+    expect(durations.quantileMs(view, 0.5)).toBeCloseTo(1_000, -2)
+    for (let run = 0; run < 30; run += 1) durations.observe(view, 3_000)
+    expect(durations.quantileMs(view, 0.5)).toBeCloseTo(3_000, -2)
+  })
+
   it('learns the tail of best-effort images from the full-speed time of their tasks', () => {
     const { view } = createStep({ filling: true, taskCount: 20 })
     const durations = scheduling.createDurations('quantile')
