--- a/packages/workflow-control/__tests__/durationModel.spec.ts
+++ b/packages/workflow-control/__tests__/durationModel.spec.ts
@@ -169,7 +169,7 @@
     const elapsedMs = 18 * USUAL_MS + 2 * LONG_MS
     expect(lines.length).toBeGreaterThan(0)
     expect(lines.length).toBeLessThanOrEqual(1 + elapsedMs / 10_000)
-    expect(lines.at(-1)?.['heaviest']).toEqual([expect.stringMatching(/^i 1\.\d\d [34]\d\.\d\d$/)])
+    expect(lines.at(-1)?.heaviest).toEqual([expect.stringMatching(/^i 1\.\d\d [34]\d\.\d\d$/)])
   })
 
   it('is not logged again without new observations', () => {
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -181,8 +181,8 @@
     const isEvidence = slowWorkers.observe({
       worker: worker.id,
       job: step.job.spec.id,
-      image: step.spec.image === '' ? step.job.queue.name : step.spec.image,
-      relativeDuration: durationMs / durations.quantileMs(step, MEDIAN),
+      image: scheduling.imageOf(step),
+      relativeDuration: durationMs / Math.max(1, durations.quantileMs(step, MEDIAN)),
       startedMs: nowMs() - durationMs,
       endedMs: nowMs(),
     })
--- a/packages/workflow-scheduling/__tests__/quantileDurations.spec.ts
+++ b/packages/workflow-scheduling/__tests__/quantileDurations.spec.ts
@@ -177,6 +177,13 @@
     expect(durations.quantileMs(view, 0.99) / medianMs).toBeGreaterThan(5)
   })
 
+  it('guards against a remaining share that is not a number after tasks without measurable duration', () => {
+    const { view } = createStep()
+    const durations = scheduling.createDurations('quantile')
+    for (let run = 0; run < 20; run += 1) durations.observe(view, 0)
+    expect(durations.remainingShare(view, 0, 40)).toBeCloseTo(0.6)
+  })
+
   it('names the images with the heaviest tails first', () => {
     const durations = scheduling.createDurations('quantile')
     for (const [image, factor] of [
@@ -301,7 +308,10 @@
 })
 
 describe('properties of the quantile model', () => {
-  const observed = fc.array(fc.double({ min: 1, max: 1e6, noNaN: true }), { maxLength: 600 })
+  const observed = fc.array(
+    fc.oneof(fc.constant(0), fc.double({ min: 0, max: 1e6, noNaN: true })),
+    { maxLength: 600 },
+  )
   const share = fc.double({ min: 0, max: 1, noNaN: true })
 
   const learn = (durationsMs: readonly number[], filling: boolean) => {
--- a/packages/workflow-scheduling/src/index.ts
+++ b/packages/workflow-scheduling/src/index.ts
@@ -4,7 +4,7 @@
  */
 export * from './admission.js'
 export * from './alarm.js'
-export { DEFAULT_DURATION_MS } from './durationEstimates.js'
+export { DEFAULT_DURATION_MS, imageOf } from './durationEstimates.js'
 export * from './durations.js'
 export { MAX_LEARNED_IMAGES } from './ratioQuantiles.js'
 export { TAIL_QUANTILE } from './quantileDurations.js'
--- a/packages/workflow-scheduling/src/quantileDurations.ts
+++ b/packages/workflow-scheduling/src/quantileDurations.ts
@@ -122,7 +122,11 @@
         recordRatio(step, totalMs)
       }
     },
-    remainingShare: (step, index, percent) => taskRemainingMs(step, index, percent) / expect(step),
+    remainingShare: (step, index, percent) => {
+      const expectedMs = expect(step)
+      if (expectedMs <= 0) return Math.max(0, 1 - percent / FULL_PERCENT)
+      return taskRemainingMs(step, index, percent) / expectedMs
+    },
     stepRemainingMs: (step) => {
       if (step.tasks.length - step.completedCount !== 1) return expect(step)
       const last = step.tasks.find(({ phase }) => phase !== 'completed')
