feat(workflow-scheduling): wait for a worker near the data or the group of a step

A task went to a remote worker at once, and the cost of another rack was a constant that knew nothing of the time lost there. With a `locality` in its input, a plan now lets a task wait while the expected time until a near worker is free is below the time that a remote run loses, and reserves that worker's room in the forecast of its rack for the tasks that wait. Without it the path is as before.

--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -3,6 +3,8 @@
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as candidates from './candidates.js'
 import type * as durations from './durations.js'
+import * as localityPlan from './localityPlan.js'
+import type * as localityWaits from './localityWaits.js'
 import * as order from './order.js'
 import * as placementFailures from './placementFailures.js'
 import * as workerCost from './workerCost.js'
@@ -23,6 +25,8 @@
   readonly avoids: (task: workflowState.TaskIdentity, workerId: string) => boolean
   /** Time for which a step has been ready. */
   readonly waitedMs: (step: workflowState.StepView) => number
+  /** Waits for workers near the data of a step. @default no task waits, and a remote worker has a fixed cost */
+  readonly locality?: localityWaits.LocalityWaits
 }
 
 export interface Plan {
@@ -32,6 +36,13 @@
   readonly tasksLookedAt: number
   /** Workers considered for those tasks; a worker counts once for each task that considered it. */
   readonly workersLookedAt: number
+  /** Time on the clock of the waits at which the first wait for a near worker ends. */
+  readonly firstWaitEndMs?: number
+}
+
+interface PlannedTask {
+  readonly assignment: protocol.workflow.Assignment
+  readonly candidate: candidates.CandidateWorker
 }
 
 const taskRunOf = (
@@ -63,11 +74,9 @@
   step: workflowState.StepView,
   limit: number,
   failures: placementFailures.PlacementFailures,
+  plannedLocality: localityPlan.LocalityPlan | undefined,
 ): Omit<Plan, 'workers'> => {
-  const planned: {
-    readonly assignment: protocol.workflow.Assignment
-    readonly candidate: candidates.CandidateWorker
-  }[] = []
+  const planned: PlannedTask[] = []
   const suitable = allCandidates.filter(
     ({ worker }) => worker.description.service === step.job.queue.service,
   )
@@ -79,13 +88,27 @@
   const { filling } = step.spec
   const rank = filling ? input.fillerRank(step) : 0
   const bestEffortRate = workerCost.createBestEffortRate(step, rank, input, true)
-  const queue = workerQueue.createWorkerQueue({
+  const { gang } = step.spec
+  const locality = plannedLocality?.forStep(step, suitable, racks)
+  let isWaiting = false
+
+  /** Whether a task starts on the cheapest worker; a gang decides as a whole when all its tasks have one. */
+  const accepts = (candidate: candidates.CandidateWorker): boolean => {
+    if (locality === undefined || gang || locality.isNear(candidate)) return true
+    if (queue.hasFreeIn(locality.remote.near) || locality.mayStartRemotely(1)) return true
+    isWaiting = true
+    return false
+  }
+
+  const queue: workerQueue.WorkerQueue = workerQueue.createWorkerQueue({
     step,
     suitable,
     rank,
     bestEffortRate,
     racks,
     avoids: input.avoids,
+    remote: locality?.remote,
+    accepts: locality === undefined ? undefined : accepts,
   })
   const mayDisturb = input.mayDisturb?.(step) !== false || isMostlyFree(suitable)
   const hasWaited =
@@ -99,34 +122,67 @@
   ): candidates.CandidateWorker | undefined => {
     if (filling && failures.covers(step, rank, minRate)) return undefined
     const candidate = take(task)
-    if (filling && candidate === undefined) failures.record(step, rank, minRate)
+    if (filling && candidate === undefined && !isWaiting) failures.record(step, rank, minRate)
     return candidate
   }
 
   let tasksLookedAt = 0
+  /** Tasks for which no worker is free. */
+  let unplacedCount = 0
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
-    if (planned.length >= limit && !step.spec.gang) break
+    if (planned.length >= limit && !gang) break
+    isWaiting = false
     const taskRun = taskRunOf(step, task)
     tasksLookedAt += 1
     // One slow task keeps the step progressing; more of them would interfere and slow down the tasks already there.
     const acceptsAnyRate = filling && hasWaited && planned.length === 0
     const candidate =
       search(workerCost.MIN_BEST_EFFORT_RATE, queue.take, taskRun) ??
-      (acceptsAnyRate ? search(0, queue.takeAtAnyRate, taskRun) : undefined)
-    if (candidate === undefined) break
+      (acceptsAnyRate && !isWaiting ? search(0, queue.takeAtAnyRate, taskRun) : undefined)
+    if (isWaiting) continue
+    if (candidate === undefined) {
+      unplacedCount = step.waitingCount - tasksLookedAt + 1
+      break
+    }
+    if (!gang) plannedLocality?.recordStart(candidate, step)
     racks.add(candidate.worker.description.rack)
     planned.push({ assignment: { task: taskRun, worker: candidate.identity }, candidate })
   }
   const workersLookedAt = queue.lookedAt()
-  if (step.spec.gang && planned.length < step.spec.taskCount) {
+  const none = { assignments: [], tasksLookedAt, workersLookedAt }
+  if (gang && planned.length < step.spec.taskCount) {
     for (const { candidate } of planned) candidates.release(candidate, step)
-    return { assignments: [], tasksLookedAt, workersLookedAt }
+    locality?.queueRest(step.spec.taskCount)
+    return none
   }
+  const placed = planned.map(({ candidate }) => candidate)
+  if (gang && locality !== undefined && gangWaits(step, placed, rank, locality)) {
+    locality.recordPlaced([])
+    return none
+  }
+  if (gang) for (const candidate of placed) plannedLocality?.recordStart(candidate, step)
+  locality?.recordPlaced(placed)
+  locality?.queueRest(unplacedCount)
   const assignments = planned.map(({ assignment }) => assignment)
   return { assignments, tasksLookedAt, workersLookedAt }
 }
 
+/** Whether a gang waits as a whole instead of starting on the workers reserved for it; if so, they are released. */
+const gangWaits = (
+  step: workflowState.StepView,
+  placed: readonly candidates.CandidateWorker[],
+  rank: number,
+  locality: localityPlan.StepLocality,
+): boolean => {
+  if (placed.every(locality.isNear)) return false
+  // The forecast of the near workers must not contain the reservations that the decision is about.
+  for (const candidate of placed) candidates.release(candidate, step)
+  if (!locality.mayStartRemotely(placed.length)) return true
+  for (const candidate of placed) candidates.reserve(candidate, step, rank)
+  return false
+}
+
 /** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
 export const planAssignments = (input: PlacementInput): Plan => {
   const { view } = input
@@ -150,10 +206,18 @@
   let tasksLookedAt = 0
   let workersLookedAt = 0
   const failures = placementFailures.createPlacementFailures(input.mayDisturb)
+  const locality =
+    input.locality &&
+    localityPlan.createLocalityPlan({
+      waits: input.locality,
+      view,
+      expected: input.expected,
+      nowMs: input.nowMs,
+    })
   for (const { step } of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
-    const planned = planStep(input, allCandidates, step, limit, failures)
+    const planned = planStep(input, allCandidates, step, limit, failures, locality)
     assignments.push(...planned.assignments)
     tasksLookedAt += planned.tasksLookedAt
     workersLookedAt += planned.workersLookedAt
@@ -162,5 +226,7 @@
   const workers = allCandidates
     .filter(({ key }) => used.has(key))
     .map(({ worker }) => worker.description)
-  return { workers, assignments, tasksLookedAt, workersLookedAt }
+  const firstWaitEndMs = locality?.firstEndMs()
+  const plan = { workers, assignments, tasksLookedAt, workersLookedAt }
+  return firstWaitEndMs === undefined ? plan : { ...plan, firstWaitEndMs }
 }
--- a/packages/workflow-scheduling/src/workerCost.ts
+++ b/packages/workflow-scheduling/src/workerCost.ts
@@ -8,6 +8,14 @@
 /** Share of full speed below which a best-effort task waits for a better worker; a slow one mostly interferes. */
 export const MIN_BEST_EFFORT_RATE = 0.5
 
+/** Lost time of a run on a remote worker, when the wait for locality is on. */
+export interface RemoteCost {
+  /** Racks near the data or the group of the step. */
+  readonly near: ReadonlySet<string>
+  /** Time that a remote run loses, as a multiple of the task's duration. */
+  readonly lossFactor: number
+}
+
 /** Cost of each recent failure on the worker, as a share of a worker's capacity. */
 const RECENT_FAILURE_COST = 0.5
 
@@ -90,16 +98,25 @@
   step: workflowState.StepView,
   racksOfStep: ReadonlySet<string>,
   bestEffortRate: number,
+  remote?: RemoteCost,
 ): number => {
   const { description, consecutiveFailures } = candidate.worker
   const { dataRack, filling, sameRack } = step.spec
   const freeShare = candidate.cpuMillis / Math.max(1, candidate.capacity.cpuMillis)
   let cost = consecutiveFailures * RECENT_FAILURE_COST
   cost += filling ? 1 / (1 + bestEffortRate) : freeShare
+  if (remote !== undefined) return cost + remoteCostOf(description.rack, remote)
   if (dataRack !== '' && dataRack !== description.rack) cost += OTHER_RACK_COST
   if (sameRack && !isRackOfStep(racksOfStep, description.rack)) cost += OTHER_RACK_COST
   return cost
 }
 
+/**
+ * Cost of the lost time, in durations of the task as the cost of a failure, which makes about half a run useless. It
+ * exceeds 1, the largest difference by free capacity, so that packing never costs time.
+ */
+const remoteCostOf = (rack: string, { near, lossFactor }: RemoteCost): number =>
+  lossFactor <= 0 || near.has(rack) ? 0 : OTHER_RACK_COST + lossFactor
+
 const isRackOfStep = (racks: ReadonlySet<string>, rack: string): boolean =>
   racks.size === 0 || racks.has(rack)
--- a/packages/workflow-scheduling/src/workerQueue.ts
+++ b/packages/workflow-scheduling/src/workerQueue.ts
@@ -17,13 +17,22 @@
   /** Racks that hold tasks of the step. */
   readonly racks: ReadonlySet<string>
   readonly avoids: (task: TaskRun, workerId: string) => boolean
+  /** Cost of workers that are remote from the data of the step. @default a fixed cost */
+  readonly remote?: workerCost.RemoteCost
+  /** Whether the task may start on the chosen worker, or else waits for a better one. @default it may */
+  readonly accepts?: (candidate: candidates.CandidateWorker) => boolean
 }
 
 export interface WorkerQueue {
-  /** Reserves the cheapest worker that runs the task at `MIN_BEST_EFFORT_RATE` or faster; undefined if there is none. */
+  /**
+   * Reserves the cheapest worker that runs the task at `MIN_BEST_EFFORT_RATE` or faster; undefined if there is none, or if
+   * it is not accepted.
+   */
   readonly take: (task: TaskRun) => candidates.CandidateWorker | undefined
   /** The same at any rate. */
   readonly takeAtAnyRate: (task: TaskRun) => candidates.CandidateWorker | undefined
+  /** Whether a worker with room in one of the racks is left. */
+  readonly hasFreeIn: (racks: ReadonlySet<string>) => boolean
   /** Number of workers whose cost was computed so far. */
   readonly lookedAt: () => number
 }
@@ -43,7 +52,7 @@
  * for all tasks of the step. Tasks that stay on one rack are the exception: each new rack changes all costs.
  */
 export const createWorkerQueue = (options: WorkerQueueOptions): WorkerQueue => {
-  const { step, suitable, rank, racks, avoids } = options
+  const { step, suitable, rank, racks, avoids, remote, accepts } = options
   const { rateOn, confirm } = options.bestEffortRate
   const { filling, sameRack } = step.spec
   let queue: tinyQueue.default<QueuedWorker> | undefined
@@ -59,7 +68,7 @@
     if (!candidates.hasCapacity(candidate, step)) return undefined
     const rate = filling ? rateOn(candidate, minRate) : 1
     if (rate < minRate) return undefined
-    return { candidate, position, cost: workerCost.costOf(candidate, step, racks, rate) }
+    return { candidate, position, cost: workerCost.costOf(candidate, step, racks, rate, remote) }
   }
 
   const createQueue = (minRate: number): tinyQueue.default<QueuedWorker> => {
@@ -86,7 +95,8 @@
   }
 
   const currentQueue = (): tinyQueue.default<QueuedWorker> => {
-    if (queue === undefined || (sameRack && racks.size !== queuedRackCount)) {
+    const hasNewRack = sameRack && remote === undefined && racks.size !== queuedRackCount
+    if (queue === undefined || hasNewRack) {
       queue = createQueue(workerCost.MIN_BEST_EFFORT_RATE)
       queuedRackCount = racks.size
     }
@@ -97,6 +107,10 @@
     take: (task) => {
       const current = currentQueue()
       let best = removeBest(current, task)
+      if (best !== undefined && accepts?.(best.candidate) === false) {
+        current.push(best)
+        return undefined
+      }
       while (best !== undefined && filling && !confirm(best.candidate)) {
         best = removeBest(current, task)
       }
@@ -115,6 +129,8 @@
       queue = undefined
       return best.candidate
     },
+    hasFreeIn: (near) =>
+      currentQueue().data.some(({ candidate }) => near.has(candidate.worker.description.rack)),
     lookedAt: () => lookedAt,
   }
 }
