feat(workflow-control): decide on waits for locality at the leader's term

The settings localityWait and remoteFactor had no effect. Durations are learned without the factor of a remote run, which would otherwise raise the expected loss of all tasks of the image. With the part off nothing of this runs.

--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -31,6 +31,8 @@
   readonly fillerRank: scheduling.PlacementInput['fillerRank']
   readonly mayDisturb: (step: workflowState.StepView) => boolean
   readonly avoids: scheduling.PlacementInput['avoids']
+  /** @default no task waits for a near worker */
+  readonly locality?: scheduling.LocalityWaits
   /** @default `planAssignments` of the scheduling package */
   readonly planAssignments?: typeof scheduling.planAssignments
   /** Sends the start orders of committed assignments to their workers. */
@@ -51,6 +53,8 @@
   let cancelDispatch: (() => void) | undefined
   /** Cancels the round that is scheduled for the end of a pause. */
   let cancelPause: (() => void) | undefined
+  /** Cancels the round that is scheduled for the end of a wait for a near worker. */
+  let cancelWaitEnd: (() => void) | undefined
   const pausedUntilMs: Record<Scope, number> = { all: 0, serving: 0 }
   let planning = false
   let planAgain = false
@@ -79,6 +83,15 @@
     cancelPause = clock.after(Math.ceil(waitMs), plan)
   }
 
+  /** Schedules a round for the end of the first wait. The timer is replaced in each round, so there is at most one. */
+  const planAtWaitEnd = (endMs: number | undefined): void => {
+    cancelWaitEnd?.()
+    cancelWaitEnd =
+      endMs === undefined
+        ? undefined
+        : clock.after(Math.max(1, Math.ceil(endMs - nowMs())), dispatch)
+  }
+
   const planRound = async (scope: Scope): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
     const beforeMs = ctx.work.totals().spentMs.plan
@@ -95,8 +108,10 @@
         mayDisturb: options.mayDisturb,
         waitedMs,
         avoids: options.avoids,
+        ...(options.locality && { locality: options.locality }),
       }),
     )
+    if (options.locality !== undefined) planAtWaitEnd(plan.firstWaitEndMs)
     // No pause after a full round: another one can place more tasks.
     if (plan.assignments.length < MAX_ASSIGNMENTS_PER_ROUND) pauseAfter(scope, beforeMs)
     ctx.work.count('rounds')
@@ -159,6 +174,7 @@
       stopped = true
       cancelDispatch?.()
       cancelPause?.()
+      cancelWaitEnd?.()
     },
   }
 }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -13,6 +13,7 @@
 import * as endMonitors from './endMonitor.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
 import * as bestEffortAccounting from './bestEffortAccounting.js'
+import * as localityDecisions from './localityDecisions.js'
 import type * as bestEffortPacing from './bestEffortPacing.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
@@ -164,7 +165,9 @@
       failedWorkers.delete(key)
       checkpoints.delete(key)
       if (step !== undefined && observed !== undefined && !step.spec.filling) {
-        durations.observe(step, now - observed.startedMs)
+        const rack = byWorker.get(workflowState.workerKey(worker))?.worker?.rack
+        const slowdown = localityDecisions.slowdownOf(ctx, step, rack)
+        durations.observe(step, (now - observed.startedMs) / slowdown)
       }
     }
     if (kind === EndKind.FAILED || (kind === EndKind.STOPPED && wasStalled)) {
@@ -329,7 +332,8 @@
       if (task.checkpoint !== '') {
         checkpoints.set(workflowState.taskKey(task.run), task.checkpoint)
       }
-      progress.update(active, task, key, now)
+      const slowdown = localityDecisions.slowdownOf(ctx, active.step, session.worker?.rack)
+      progress.update(active, task, key, now, slowdown)
       accounting.recordRunning(active, task, key)
     }
     if (unknown.length === 0) return
@@ -630,6 +634,7 @@
     fillerRank: ranks.rankOf,
     mayDisturb: ranks.isChosen,
     avoids: (task, worker) => failedWorkers.get(workflowState.taskKey(task))?.has(worker) ?? false,
+    locality: localityDecisions.createLocalityDecisions({ ctx, durations, progress }),
     planAssignments: policies.planAssignments,
     start: sendStarts,
   })
--- a/packages/workflow-control/src/runProgress.ts
+++ b/packages/workflow-control/src/runProgress.ts
@@ -16,6 +16,8 @@
     /** `runKey` of the run. */
     key: string,
     nowMs: number,
+    /** How many times as long the task takes where it runs. @default 1 */
+    slowdown?: number,
   ) => void
   readonly get: (run: TaskRun) => scheduling.Progress | undefined
   /** Progress of a task in percent: of its run, or of the checkpoint from which it resumes. */
@@ -37,13 +39,13 @@
   }
 
   return {
-    update: ({ step }, { progressPercent, pacePercent }, key, nowMs) => {
+    update: ({ step }, { progressPercent, pacePercent }, key, nowMs, slowdown = 1) => {
       const before = progress.get(key)
       const next = scheduling.nextProgress(before, progressPercent, pacePercent, nowMs)
       progress.set(key, next)
       const worked = before && scheduling.workedBetween(before, next)
       if (!step.spec.filling || worked === undefined) return
-      durations.observeProgress(step, worked.workedMs, worked.part)
+      durations.observeProgress(step, worked.workedMs / slowdown, worked.part)
     },
     get: (run) => progress.get(workflowState.runKey(run)),
     percentOf: (run) => {
--- a/packages/workflow-control/src/workStatistics.ts
+++ b/packages/workflow-control/src/workStatistics.ts
@@ -1,7 +1,22 @@
 /** Counts the work that a control replica does on its event loop, and the time spent in each part of it. */
 
+/**
+ * The counts of locality are of tasks whose step names a rack: placed near, placed remotely, or waiting; steps that began
+ * to wait (`localityWaits`); and the milliseconds that tasks waited.
+ */
 export type WorkCount =
-  'reports' | 'rounds' | 'tasksLookedAt' | 'workersLookedAt' | 'rankings' | 'proposals' | 'commits'
+  | 'reports'
+  | 'rounds'
+  | 'tasksLookedAt'
+  | 'workersLookedAt'
+  | 'rankings'
+  | 'proposals'
+  | 'commits'
+  | 'localityWaits'
+  | 'localityNear'
+  | 'localityRemote'
+  | 'localityWait'
+  | 'localityWaitedMs'
 
 /**
  * Parts of the work: the leader's planning, handling of agents' reports and sweeps; sending orders to agents; receiving and
@@ -43,6 +58,11 @@
     rankings: 0,
     proposals: 0,
     commits: 0,
+    localityWaits: 0,
+    localityNear: 0,
+    localityRemote: 0,
+    localityWait: 0,
+    localityWaitedMs: 0,
   }
   const spentMs = {
     plan: 0,
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -90,13 +90,14 @@
   const bestEffortRate = workerCost.createBestEffortRate(step, rank, input, true)
   const { gang } = step.spec
   const locality = plannedLocality?.forStep(step, suitable, racks)
-  let isWaiting = false
+  /** Times a task declined a remote worker; it waits then. */
+  let declinedCount = 0
 
   /** Whether a task starts on the cheapest worker; a gang decides as a whole when all its tasks have one. */
   const accepts = (candidate: candidates.CandidateWorker): boolean => {
     if (locality === undefined || gang || locality.isNear(candidate)) return true
     if (queue.hasFreeIn(locality.remote.near) || locality.mayStartRemotely(1)) return true
-    isWaiting = true
+    declinedCount += 1
     return false
   }
 
@@ -121,8 +122,10 @@
     task: protocol.workflow.TaskRun,
   ): candidates.CandidateWorker | undefined => {
     if (filling && failures.covers(step, rank, minRate)) return undefined
+    const declinedBefore = declinedCount
     const candidate = take(task)
-    if (filling && candidate === undefined && !isWaiting) failures.record(step, rank, minRate)
+    const hasDeclined = declinedCount > declinedBefore
+    if (filling && candidate === undefined && !hasDeclined) failures.record(step, rank, minRate)
     return candidate
   }
 
@@ -132,15 +135,16 @@
   for (const task of step.tasks) {
     if (task.phase !== 'waiting') continue
     if (planned.length >= limit && !gang) break
-    isWaiting = false
+    const declinedBefore = declinedCount
+    const hasDeclined = (): boolean => declinedCount > declinedBefore
     const taskRun = taskRunOf(step, task)
     tasksLookedAt += 1
     // One slow task keeps the step progressing; more of them would interfere and slow down the tasks already there.
     const acceptsAnyRate = filling && hasWaited && planned.length === 0
     const candidate =
       search(workerCost.MIN_BEST_EFFORT_RATE, queue.take, taskRun) ??
-      (acceptsAnyRate && !isWaiting ? search(0, queue.takeAtAnyRate, taskRun) : undefined)
-    if (isWaiting) continue
+      (acceptsAnyRate && !hasDeclined() ? search(0, queue.takeAtAnyRate, taskRun) : undefined)
+    if (hasDeclined()) continue
     if (candidate === undefined) {
       unplacedCount = step.waitingCount - tasksLookedAt + 1
       break
