--- a/packages/workflow-scheduling/src/localityWait.ts
+++ b/packages/workflow-scheduling/src/localityWait.ts
@@ -6,6 +6,9 @@
 /** Limit on the total wait of one step, in milliseconds: a longer wait relies on estimates that are no longer current. */
 export const MAX_LOCALITY_WAIT_MS = 5_000
 
+/** Shortest wait, in milliseconds: the resolution of the timers, so that a wait never causes a round at once. */
+const MIN_LOCALITY_WAIT_MS = 1
+
 export interface LocalityInput {
   /** Expected time until a near worker is free for this task, after the tasks that wait before it; 0 if one is free. */
   readonly nearInMs: number
@@ -36,22 +39,26 @@
 const REMOTE: LocalityDecision = { kind: 'remote' }
 
 /**
- * Longest wait from `nowMs` on. A step that would be in time with a remote run keeps enough time for that run, so that a
- * near worker that does not become free as expected never makes it late.
+ * Longest wait from `nowMs` on. It ends at the latest start also if a remote run would end in time only before: keeping the
+ * time for a remote run made more jobs late, because that run then had no margin for a longer duration.
  */
 export const waitBoundMs = (input: LocalityInput, nowMs: number): number => {
   const { lossMs, slackMs, waitingSinceMs = nowMs } = input
   const leftMs = Math.min(lossMs, MAX_LOCALITY_WAIT_MS) - (nowMs - waitingSinceMs)
-  const remoteSlackMs = slackMs - lossMs
-  return Math.max(0, Math.min(leftMs, remoteSlackMs >= 0 ? remoteSlackMs : slackMs))
+  return Math.max(0, Math.min(leftMs, slackMs))
 }
 
-/** Waits while a near worker is expected to be free before the time that a remote run loses, within `waitBoundMs`. */
+/**
+ * Waits while a near worker is expected to be free before the time that a remote run loses, within `waitBoundMs`. The run
+ * after the wait is then expected to end before the remote run, so a job that the remote run would end in time is not late
+ * through the wait by these expectations.
+ */
 export const createExpectedTimePolicy = (): LocalityPolicy => ({
   decide: (input, nowMs) => {
     if (input.nearInMs <= 0) return NEAR
     const boundMs = waitBoundMs(input, nowMs)
-    return input.nearInMs < boundMs ? { kind: 'wait', untilMs: nowMs + boundMs } : REMOTE
+    if (boundMs < MIN_LOCALITY_WAIT_MS || input.nearInMs >= boundMs) return REMOTE
+    return { kind: 'wait', untilMs: nowMs + boundMs }
   },
 })
 
