test(workflow-scheduling): what each job gets with waits, never waiting and delay scheduling

A step that stays on one rack chose a rack that was too small when none had room for all its tasks; it now prefers one that is large enough. The tables cover free, busy, hot and lost near workers, uneven workers, gangs and same-rack steps.

--- a/packages/workflow-scheduling/__tests__/localityPlay.ts
+++ b/packages/workflow-scheduling/__tests__/localityPlay.ts
@@ -95,8 +95,8 @@
     const rack = byWorker.get(worker)?.rack
     if (step.spec.dataRack !== '') return rack !== step.spec.dataRack
     if (!step.spec.sameRack) return false
-    const others = [...(started.get(step.job.spec.id)?.values() ?? [])]
-    return others.some((other) => byWorker.get(other.worker)?.rack !== rack)
+    const others = [...running.values()].filter((other) => other.step === step)
+    return others.some((other) => byWorker.get(other.worker.id)?.rack !== rack)
   }
 
   const start = ({ task, worker }: protocol.workflow.Assignment): void => {
@@ -119,6 +119,16 @@
     })
   }
 
+  /** The members of a gang advance together, as fast as the slowest of them. */
+  const alignGangs = (): void => {
+    for (const [key, each] of running) {
+      if (!each.step.spec.gang) continue
+      const members = [...running.values()].filter(({ step }) => step === each.step)
+      const endMs = Math.max(...members.map((member) => member.endMs))
+      running.set(key, { ...each, endMs })
+    }
+  }
+
   const plan = (): void => {
     rounds += 1
     const input = cell.input(now)
@@ -134,6 +144,7 @@
     waitEndMs = made.firstWaitEndMs ?? Number.POSITIVE_INFINITY
     cell.state.apply({ nowMs: now, body: { $case: 'assign', value: made } })
     for (const assignment of made.assignments) start(assignment)
+    alignGangs()
   }
 
   const recordEnd = ({ run, worker }: Running, kind: protocol.workflow.EndKind): void => {
@@ -157,6 +168,9 @@
 
   const complete = (each: Running): void => {
     recordEnd(each, EndKind.COMPLETED)
+    // The end of one member completes the gang.
+    if (each.step.spec.gang)
+      for (const [key, { step }] of running) if (step === each.step) running.delete(key)
     cell.expected.observe(each.step, (now - each.startedMs) / each.slowdown)
     if (each.step.job.phase === 'completed') recordResult(each.step)
   }
@@ -184,7 +198,8 @@
     const lossMs = isDomainLost ? Infinity : (lostDomain?.atMs ?? Infinity)
     const arrivalMs = jobs[submitted]?.atMs ?? Infinity
     now = Math.max(now, Math.min(sweepMs, waitEndMs, arrivalMs, lossMs, ...ends))
-    for (const each of [...running.values()]) if (each.endMs <= now) complete(each)
+    for (const [key, each] of [...running])
+      if (each.endMs <= now && running.has(key)) complete(each)
     if (lossMs <= now) loseDomain()
     submitDue()
     waitEndMs = Infinity
--- a/packages/workflow-scheduling/src/localityPlan.ts
+++ b/packages/workflow-scheduling/src/localityPlan.ts
@@ -1,5 +1,5 @@
 /** Applies the wait for locality to the steps of one plan. */
-import type * as workflowState from '@ebonyweir/workflow-state'
+import * as workflowState from '@ebonyweir/workflow-state'
 import type * as candidates from './candidates.js'
 import type * as durations from './durations.js'
 import type * as localityWait from './localityWait.js'
@@ -43,44 +43,61 @@
   readonly firstEndMs: () => number | undefined
 }
 
-/** Number of tasks of a step for which a worker has room now. */
-const roomCount = (
-  {
-    worker,
-    cpuMillis,
-    memoryMb,
-    accelerators,
-    leftCpuMillis,
-    runsOfStep,
-  }: candidates.CandidateWorker,
+type Room = Pick<
+  candidates.CandidateWorker,
+  'cpuMillis' | 'leftCpuMillis' | 'memoryMb' | 'accelerators'
+>
+
+/** Number of tasks of a step that fit into `room` on a worker. */
+const fitCount = (
+  { worker, runsOfStep }: candidates.CandidateWorker,
+  room: Room,
   step: workflowState.StepView,
 ): number => {
-  const { claim, filling, requiredLabel, maxPerWorker } = step.spec
+  const { filling, requiredLabel, maxPerWorker } = step.spec
   if (requiredLabel !== '' && !worker.description.labels.includes(requiredLabel)) return 0
-  const held = runsOfStep.get(step) ?? 0
+  const { cpuMillis, memoryMb, accelerators } = workflowState.claimOf(step.spec)
+  const ratio = (free: number, needed: number): number =>
+    needed > 0 ? Math.floor(Math.max(0, free) / needed) : Number.POSITIVE_INFINITY
+  const allowed =
+    maxPerWorker > 0 ? maxPerWorker - (runsOfStep.get(step) ?? 0) : Number.POSITIVE_INFINITY
   return Math.min(
-    maxPerWorker > 0 ? Math.max(0, maxPerWorker - held) : Number.POSITIVE_INFINITY,
-    Math.floor((filling ? leftCpuMillis : cpuMillis) / Math.max(1, claim?.cpuMillis ?? 0)),
-    Math.floor(memoryMb / Math.max(1, claim?.memoryMb ?? 0)),
-    (claim?.accelerators ?? 0) > 0
-      ? Math.floor(accelerators / (claim?.accelerators ?? 1))
-      : Number.POSITIVE_INFINITY,
+    Math.max(0, allowed),
+    ratio(filling ? room.leftCpuMillis : room.cpuMillis, cpuMillis),
+    ratio(room.memoryMb, memoryMb),
+    ratio(room.accelerators, accelerators),
   )
 }
 
-/** Rack for a step that stays on one: the one with the least room of those that hold it, or else the most room. */
+/** Numbers of tasks of a step that fit in a rack at present, and if no other task ran there. */
+interface RackRoom {
+  now: number
+  empty: number
+}
+
+/**
+ * Rack for a step that stays on one: the one with the least room of those that hold all its tasks now, or else the one with
+ * the most room of those that are large enough.
+ */
 const chooseRack = (
   step: workflowState.StepView,
   suitable: readonly candidates.CandidateWorker[],
 ): string | undefined => {
-  const counts = new Map<string, number>()
+  const rooms = new Map<string, RackRoom>()
   for (const candidate of suitable) {
     const { rack } = candidate.worker.description
-    counts.set(rack, (counts.get(rack) ?? 0) + roomCount(candidate, step))
+    const room = rooms.get(rack) ?? { now: 0, empty: 0 }
+    rooms.set(rack, room)
+    const { capacity } = candidate
+    room.now += fitCount(candidate, candidate, step)
+    room.empty += fitCount(candidate, { ...capacity, leftCpuMillis: capacity.cpuMillis }, step)
   }
-  const byRoom = [...counts].sort(([, a], [, b]) => a - b)
-  const [rack] = byRoom.find(([, count]) => count >= step.waitingCount) ?? byRoom.at(-1) ?? []
-  return rack
+  const byRoom = [...rooms].sort(([, a], [, b]) => a.now - b.now)
+  const chosen =
+    byRoom.find(([, { now }]) => now >= step.waitingCount) ??
+    byRoom.findLast(([, { empty }]) => empty >= step.waitingCount) ??
+    byRoom.at(-1)
+  return chosen?.[0]
 }
 
 /** Racks near the data or the group of a step; undefined if all racks are equally good. */
