--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -5,6 +5,7 @@
 import * as vitest from 'vitest'
 import type * as context from '../src/context.js'
 import * as leaderTerm from '../src/leaderTerm.js'
+import * as schedulingOptions from '../src/schedulingOptions.js'
 import * as timing from '../src/timing.js'
 import * as workStatistics from '../src/workStatistics.js'
 import type * as workerSession from '../src/workerSession.js'
@@ -40,6 +41,10 @@
   readonly stale?: boolean
   /** Whether the worker has not listed its runs as this incarnation yet. */
   readonly unlisted?: boolean
+  /** @default 'r1' */
+  readonly rack?: string
+  /** @default 4000 */
+  readonly cpuMillis?: number
 }
 
 export const parseRun = (key: string): protocol.workflow.TaskRun => {
@@ -68,7 +73,9 @@
 }
 
 /** Leader's term over a state machine that commits immediately, with a clock that the test advances. */
-export const createTermHarness = () => {
+export const createTermHarness = (
+  schedulingFields: Partial<schedulingOptions.SchedulingOptions> = {},
+) => {
   vitest.vi.useFakeTimers()
   const state = workflowState.createWorkflowState()
   const logs: LogLine[] = []
@@ -104,11 +111,12 @@
       timing: timing.resolveTiming({ maxLeaseMs: LEASE_MS }).unwrap(),
       statusRetentionMs: 120_000,
       logger,
+      scheduling: { ...schedulingOptions.DEFAULT_SCHEDULING_OPTIONS, ...schedulingFields },
     },
     replica: {} as context.ControlContext['replica'],
     view: state.view,
     nowMs,
-    leadingTerm: () => (control.leading ? 7 : undefined),
+    leadingTerm: () => (control.leading ? term.term : undefined),
     propose: async (body) => {
       await control.gate
       if (control.overloaded) return results.Err({ kind: 'overloaded', detail: '' })
@@ -134,7 +142,7 @@
     work: workStatistics.createWorkStatistics(nowMs),
     hint: () => ({ leader: '', members: [] }),
   }
-  const term = leaderTerm.createLeaderTerm(ctx, 7)
+  let term = leaderTerm.createLeaderTerm(ctx, 7)
 
   const attach = (name: string): Agent => {
     const orders: protocol.workflow.WorkerOrders[] = []
@@ -165,9 +173,9 @@
           identity: { id: fields.id ?? name, bornMs: fields.bornMs ?? 1, agent: name },
           service: 'desk',
           failureDomain: 'rennes',
-          rack: 'r1',
+          rack: fields.rack ?? 'r1',
           labels: ['a', 'r1'],
-          capacity: { cpuMillis: 4_000, memoryMb: 1_000, accelerators: 0 },
+          capacity: { cpuMillis: fields.cpuMillis ?? 4_000, memoryMb: 1_000, accelerators: 0 },
         },
         draining: fields.draining ?? false,
         drainRemainingMs: 0,
@@ -215,7 +223,15 @@
     control,
     held,
     logs,
-    term,
+    work: ctx.work,
+    get term() {
+      return term
+    },
+    /** Ends the term; a new leader, which knows the replicated state only, begins the next one. */
+    changeLeader: (): void => {
+      term.stop()
+      term = leaderTerm.createLeaderTerm(ctx, term.term + 1)
+    },
     attach,
     submit: (
       id: string,
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -55,6 +55,7 @@
   let cancelPause: (() => void) | undefined
   /** Cancels the round that is scheduled for the end of a wait for a near worker. */
   let cancelWaitEnd: (() => void) | undefined
+  let waitEndMs = Number.POSITIVE_INFINITY
   const pausedUntilMs: Record<Scope, number> = { all: 0, serving: 0 }
   let planning = false
   let planAgain = false
@@ -83,13 +84,18 @@
     cancelPause = clock.after(Math.ceil(waitMs), plan)
   }
 
-  /** Schedules a round for the end of the first wait. The timer is replaced in each round, so there is at most one. */
-  const planAtWaitEnd = (endMs: number | undefined): void => {
+  /**
+   * Schedules a round for the end of the first wait; there is at most one such timer. A round that skips best-effort steps
+   * keeps an earlier end, which may be of such a step.
+   */
+  const planAtWaitEnd = (scope: Scope, endMs = Number.POSITIVE_INFINITY): void => {
+    const now = nowMs()
+    const isKept = scope === 'serving' && waitEndMs > now
+    waitEndMs = isKept ? Math.min(waitEndMs, endMs) : endMs
     cancelWaitEnd?.()
-    cancelWaitEnd =
-      endMs === undefined
-        ? undefined
-        : clock.after(Math.max(1, Math.ceil(endMs - nowMs())), dispatch)
+    cancelWaitEnd = undefined
+    if (waitEndMs === Number.POSITIVE_INFINITY) return
+    cancelWaitEnd = clock.after(Math.max(1, Math.ceil(waitEndMs - now)), dispatch)
   }
 
   const planRound = async (scope: Scope): Promise<void> => {
@@ -111,7 +117,7 @@
         ...(options.locality && { locality: options.locality }),
       }),
     )
-    if (options.locality !== undefined) planAtWaitEnd(plan.firstWaitEndMs)
+    if (options.locality !== undefined) planAtWaitEnd(scope, plan.firstWaitEndMs)
     // No pause after a full round: another one can place more tasks.
     if (plan.assignments.length < MAX_ASSIGNMENTS_PER_ROUND) pauseAfter(scope, beforeMs)
     ctx.work.count('rounds')
