--- a/packages/workflow-control/__tests__/assignmentRounds.spec.ts
+++ b/packages/workflow-control/__tests__/assignmentRounds.spec.ts
@@ -125,3 +125,77 @@
     rounds.stop()
   })
 })
+
+describe('rounds at the end of a wait', () => {
+  /** Rounds of which the first ones begin waits with these ends; `roundsAtMs` holds the time of each round. */
+  const createWaitingCell = (endsMs: readonly (number | undefined)[]) => {
+    const state = workflowState.createWorkflowState()
+    const spec = {
+      ...protocol.workflow.JobSpec.fromPartial({ id: 'j' }),
+      steps: [protocol.workflow.Step.fromPartial({ taskCount: 1 })],
+    }
+    const queue = protocol.workflow.Queue.fromPartial({ service: 'desk', maxAttempts: 3 })
+    state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue } } })
+    const startedMs = performance.now()
+    const nowMs = (): number => performance.now() - startedMs
+    const roundsAtMs: number[] = []
+    const ctx: context.TermContext = {
+      options: { logger: telemetry.createSilentLogger() } as context.TermContext['options'],
+      view: state.view,
+      nowMs,
+      leadingTerm: () => TERM,
+      propose: (body) => Promise.resolve(results.Ok(state.apply({ nowMs: 0, body }))),
+      work: workStatistics.createWorkStatistics(nowMs),
+    }
+    const rounds = assignmentRounds.createAssignmentRounds({
+      ctx,
+      term: TERM,
+      expected: scheduling.createDurations(),
+      disturbance: scheduling.createInterferenceModel(),
+      eligibleWorkers: () => [],
+      fillerRank: () => 0,
+      mayDisturb: () => true,
+      avoids: () => false,
+      locality: scheduling.createLocalityWaits({ remoteFactor: 2, remainingMs: () => 0, nowMs }),
+      planAssignments: () => {
+        const firstWaitEndMs = endsMs[roundsAtMs.length]
+        roundsAtMs.push(Math.round(nowMs()))
+        const plan = { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
+        return firstWaitEndMs === undefined ? plan : { ...plan, firstWaitEndMs }
+      },
+      start: () => undefined,
+    })
+    return { rounds, roundsAtMs }
+  }
+
+  it('guards against a wait whose end no round follows, and against busy rounds', async () => {
+    const { rounds, roundsAtMs } = createWaitingCell([500])
+    rounds.dispatch()
+    await vitest.vi.advanceTimersByTimeAsync(SPAN_MS)
+    expect(roundsAtMs).toHaveLength(2)
+    expect(roundsAtMs[1]).toBeGreaterThanOrEqual(500)
+    expect(roundsAtMs[1]).toBeLessThan(520)
+    rounds.stop()
+  })
+
+  it('guards against several timers when each round names the end of a wait', async () => {
+    const { rounds, roundsAtMs } = createWaitingCell([500, 700, 900])
+    for (let round = 0; round < 3; round += 1) {
+      rounds.dispatch()
+      await vitest.vi.advanceTimersByTimeAsync(50)
+    }
+    await vitest.vi.advanceTimersByTimeAsync(SPAN_MS)
+    expect(roundsAtMs).toHaveLength(4)
+    rounds.stop()
+  })
+
+  it('guards against a timer that is left after the end of the term', async () => {
+    const { rounds, roundsAtMs } = createWaitingCell([500])
+    rounds.dispatch()
+    await vitest.vi.advanceTimersByTimeAsync(50)
+    rounds.stop()
+    expect(vitest.vi.getTimerCount()).toBe(0)
+    await vitest.vi.advanceTimersByTimeAsync(SPAN_MS)
+    expect(roundsAtMs).toHaveLength(1)
+  })
+})
--- a/packages/workflow-control/__tests__/localityDecisions.spec.ts
+++ b/packages/workflow-control/__tests__/localityDecisions.spec.ts
@@ -155,6 +155,34 @@
     expect(far.starts()).toEqual(['j.0.0.0#1'])
   })
 
+  it('guards against expected durations that include the lost time of remote runs', async () => {
+    harness = harnesses.createTermHarness(ON)
+    const agents = attach()
+    // No worker is in the rack of this data, so each run takes three times as long as estimated.
+    for (const [number, id] of ['a', 'b', 'c'].entries()) {
+      harness.submit(id, [{ dataRack: 'gone' }])
+      await settle()
+      const holder = agents.near.starts().includes(`${id}.0.0.0#1`) ? agents.near : agents.far
+      const fields = holder === agents.near ? NEAR : FAR
+      for (let passedMs = 0; passedMs < 3_000; passedMs += 100) {
+        agents.near.report(NEAR)
+        agents.far.report(FAR)
+        holder.report({ ...fields, running: [`${id}.0.0.0#1`], percent: passedMs / 30 })
+        await harness.pass(100)
+      }
+      holder.report({ ...fields, ended: [[number + 1, `${id}.0.0.0#1`, EndKind.COMPLETED]] })
+      await settle()
+    }
+    harness.submit('busy', [{ dataRack: 'near' }])
+    await settle()
+    await live(agents, 400, { from: 0, most: 100 })
+    harness.submit('j', [{ dataRack: 'near' }])
+    await settle()
+    const [line] = waitLines()
+    expect(line?.lossMs).toBeGreaterThan(1_900)
+    expect(line?.lossMs).toBeLessThan(2_100)
+  })
+
   it('guards against rounds that waits cause in addition to those of the sweeps', async () => {
     const agents = await begin(ON, 3_000)
     const before = harness.work.totals().counts.rounds
--- a/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
@@ -324,12 +324,12 @@
   })
 
   it('guards against a packed remote worker that is cheaper than a free near one', () => {
-    const cell = createWaitingCell([workerIn('near', 'n', 16), workerIn('far', 'f', 16)], {
-      remoteFactor: 1.1,
-    })
-    cell.submit('fill', [step({ taskCount: 15, requiredLabel: 'f' })])
+    const far = workerIn('far', 'f', 16, { labels: ['far'] })
+    const cell = createWaitingCell([workerIn('near', 'n', 16), far], { remoteFactor: 1.1 })
+    cell.submit('fill', [step({ taskCount: 15, requiredLabel: 'far' })])
+    expect(cell.planAt(0)).toHaveLength(15)
     cell.submit('j', [step({ dataRack: 'near' })])
-    expect(cell.planAt(0)).toContain('j.0.0 n')
+    expect(cell.planAt(0)).toEqual(['j.0.0 n'])
   })
 
   it('guards against more waiting tasks than the rack serves within the loss', () => {
@@ -379,6 +379,19 @@
     expect(cell.planAt(2_010, { waitedMs: () => 9_000 })).toEqual(['j.0.0 f'])
   })
 
+  it('guards against a waiting best-effort step that keeps an equivalent one from a free worker', () => {
+    const capacity = { cpuMillis: 9_000, memoryMb: 10, accelerators: 0 }
+    const cell = createWaitingCell([
+      workerIn('near', 'n', 1, { capacity }),
+      workerIn('far', 'f', 1, { capacity }),
+    ])
+    cell.submit('busy', [step({ dataRack: 'near', filling: true })])
+    cell.planAt(0)
+    cell.submit('j', [step({ dataRack: 'near', filling: true })])
+    cell.submit('other', [step({ filling: true })])
+    expect(cell.planAt(10, { waitedMs: () => 9_000 })).toEqual(['other.0.0 f'])
+  })
+
   it('starts every step by its bound if a worker is free, and never waits beside a free near worker', () => {
     fc.assert(
       fc.property(
