perf(workflow-scheduling): forecast of a rack without allocations per change

Median of a plan with 400 tasks of 40 steps for one rack of 60 workers, 147 or 400 of them waiting: 1.4 ms and 2.1 ms, before 2.4 ms and 3.2 ms; without waits 0.5 ms and 0.4 ms (100 plans each, this machine, busy).

--- a/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
@@ -379,18 +379,24 @@
     expect(cell.planAt(2_010, { waitedMs: () => 9_000 })).toEqual(['j.0.0 f'])
   })
 
-  it('guards against a waiting best-effort step that keeps an equivalent one from a free worker', () => {
-    const capacity = { cpuMillis: 9_000, memoryMb: 10, accelerators: 0 }
-    const cell = createWaitingCell([
-      workerIn('near', 'n', 1, { capacity }),
-      workerIn('far', 'f', 1, { capacity }),
-    ])
-    cell.submit('busy', [step({ dataRack: 'near', filling: true })])
-    cell.planAt(0)
-    cell.submit('j', [step({ dataRack: 'near', filling: true })])
-    cell.submit('other', [step({ filling: true })])
-    expect(cell.planAt(10, { waitedMs: () => 9_000 })).toEqual(['other.0.0 f'])
-  })
+  it.each([
+    { name: 'from its start', waitedMs: 0 },
+    { name: 'after the longest wait for full speed', waitedMs: 9_000 },
+  ])(
+    'guards against a waiting step that keeps an equivalent one from a free worker $name',
+    ({ waitedMs }) => {
+      const capacity = { cpuMillis: 9_000, memoryMb: 10, accelerators: 0 }
+      const cell = createWaitingCell([
+        workerIn('near', 'n', 1, { capacity }),
+        workerIn('far', 'f', 1, { capacity }),
+      ])
+      cell.submit('busy', [step({ dataRack: 'near', filling: true })])
+      cell.planAt(0)
+      cell.submit('j', [step({ dataRack: 'near', filling: true })])
+      cell.submit('other', [step({ filling: true })])
+      expect(cell.planAt(10, { waitedMs: () => waitedMs })).toEqual(['other.0.0 f'])
+    },
+  )
 
   it('starts every step by its bound if a worker is free, and never waits beside a free near worker', () => {
     fc.assert(
--- a/packages/workflow-scheduling/src/rackForecast.ts
+++ b/packages/workflow-scheduling/src/rackForecast.ts
@@ -45,21 +45,13 @@
   readonly cancel: () => void
 }
 
-const NO_ROOM: Room = { cpuMillis: 0, leftCpuMillis: 0, memoryMb: 0, accelerators: 0 }
-
-const add = (a: Room, b: Room, sign: 1 | -1 = 1): Room => ({
-  cpuMillis: a.cpuMillis + sign * b.cpuMillis,
-  leftCpuMillis: a.leftCpuMillis + sign * b.leftCpuMillis,
-  memoryMb: a.memoryMb + sign * b.memoryMb,
-  accelerators: a.accelerators + sign * b.accelerators,
+const negative = ({ cpuMillis, leftCpuMillis, memoryMb, accelerators }: Room): Room => ({
+  cpuMillis: -cpuMillis,
+  leftCpuMillis: -leftCpuMillis,
+  memoryMb: -memoryMb,
+  accelerators: -accelerators,
 })
 
-const holds = (free: Room, needed: Room): boolean =>
-  needed.cpuMillis <= free.cpuMillis &&
-  needed.leftCpuMillis <= free.leftCpuMillis &&
-  needed.memoryMb <= free.memoryMb &&
-  needed.accelerators <= free.accelerators
-
 const roomOf = (step: workflowState.StepView): Room => {
   const { cpuMillis, memoryMb, accelerators } = workflowState.claimOf(step.spec)
   const { filling } = step.spec
@@ -89,14 +81,33 @@
   changes.splice(index, 0, change)
 }
 
-/** Earliest time from which `needed` stays free; infinite if there is none. */
+/**
+ * Earliest time from which `needed` stays free; infinite if there is none. It goes back from the last change without
+ * allocations, since it runs for each task that waits.
+ */
 const earliestFit = (now: Room, changes: readonly Change[], needed: Room): number => {
-  const frees: Room[] = [now]
-  for (const { room } of changes) frees.push(add(frees.at(-1) ?? now, room))
+  let { cpuMillis, leftCpuMillis, memoryMb, accelerators } = now
+  for (const { room } of changes) {
+    cpuMillis += room.cpuMillis
+    leftCpuMillis += room.leftCpuMillis
+    memoryMb += room.memoryMb
+    accelerators += room.accelerators
+  }
   let earliestMs = Number.POSITIVE_INFINITY
-  for (let index = frees.length - 1; index >= 0; index -= 1) {
-    if (!holds(frees[index] ?? NO_ROOM, needed)) break
-    earliestMs = index === 0 ? 0 : (changes[index - 1]?.inMs ?? 0)
+  for (let index = changes.length; index >= 0; index -= 1) {
+    const isFree =
+      needed.cpuMillis <= cpuMillis &&
+      needed.leftCpuMillis <= leftCpuMillis &&
+      needed.memoryMb <= memoryMb &&
+      needed.accelerators <= accelerators
+    if (!isFree) return earliestMs
+    const change = changes[index - 1]
+    if (change === undefined) return 0
+    earliestMs = change.inMs
+    cpuMillis -= change.room.cpuMillis
+    leftCpuMillis -= change.room.leftCpuMillis
+    memoryMb -= change.room.memoryMb
+    accelerators -= change.room.accelerators
   }
   return earliestMs
 }
@@ -204,7 +215,7 @@
     inMs: number,
   ): (() => void) => {
     const room = roomOf(step)
-    const start: Change = { inMs, room: add(NO_ROOM, room, -1) }
+    const start: Change = { inMs, room: negative(room) }
     const end: Change = { inMs: inMs + durationMs, room }
     const changes = changesOn(candidate)
     const counts = reservedCounts.get(candidate) ?? new Map<workflowState.StepView, number>()
