--- a/packages/workflow-scheduling/__tests__/localityPlay.ts
+++ b/packages/workflow-scheduling/__tests__/localityPlay.ts
@@ -76,7 +76,7 @@
   let rounds = 0
   let waitEndMs = Number.POSITIVE_INFINITY
   let submitted = 0
-  let isDomainLost = false
+  const lostDomains = new Set<string>()
 
   const remainingMs = ({ step, task }: workflowState.ActiveRun): number => {
     const { job, occurrence, index } = step
@@ -135,8 +135,7 @@
     const made = scheduling.planAssignments({
       ...input,
       workers: input.workers.filter(
-        ({ description }) =>
-          !isDomainLost || description.failureDomain !== lostDomain?.failureDomain,
+        ({ description }) => !lostDomains.has(description.failureDomain),
       ),
       maxAssignments: 200,
       ...(locality && { locality }),
@@ -176,7 +175,7 @@
   }
 
   const loseDomain = (): void => {
-    isDomainLost = true
+    if (lostDomain !== undefined) lostDomains.add(lostDomain.failureDomain)
     for (const each of [...running.values()]) {
       const domain = byWorker.get(each.worker.id)?.failureDomain
       if (domain === lostDomain?.failureDomain) recordEnd(each, EndKind.LOST)
@@ -195,7 +194,7 @@
   while (results.size < jobs.length && now < LIMIT_MS) {
     const sweepMs = cell.state.view.readySteps.size > 0 ? now + SWEEP_MS : Infinity
     const ends = [...running.values()].map(({ endMs }) => endMs)
-    const lossMs = isDomainLost ? Infinity : (lostDomain?.atMs ?? Infinity)
+    const lossMs = lostDomains.size > 0 ? Infinity : (lostDomain?.atMs ?? Infinity)
     const arrivalMs = jobs[submitted]?.atMs ?? Infinity
     now = Math.max(now, Math.min(sweepMs, waitEndMs, arrivalMs, lossMs, ...ends))
     for (const [key, each] of [...running])
