--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -187,14 +187,11 @@
   return false
 }
 
-/** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
-export const planAssignments = (input: PlacementInput): Plan => {
-  const { view } = input
-  if (view.readySteps.size === 0) {
-    return { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
-  }
-  const allCandidates = candidates.createCandidates(input)
-  const ordered = [...view.readySteps]
+/** Ready steps in the order of their placement: steps that reserve CPU by urgency, then best-effort steps by rank. */
+export const orderSteps = (
+  input: Pick<PlacementInput, 'view' | 'skipBestEffort' | 'fillerRank' | 'expected' | 'nowMs'>,
+): readonly workflowState.StepView[] =>
+  [...input.view.readySteps]
     .filter(({ spec }) => input.skipBestEffort !== true || !spec.filling)
     .map((step) => ({
       step,
@@ -206,6 +203,16 @@
       if (a.urgency === undefined || b.urgency === undefined) return a.rank === undefined ? -1 : 1
       return order.compareUrgency(a.urgency, b.urgency)
     })
+    .map(({ step }) => step)
+
+/** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
+export const planAssignments = (input: PlacementInput): Plan => {
+  const { view } = input
+  if (view.readySteps.size === 0) {
+    return { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
+  }
+  const allCandidates = candidates.createCandidates(input)
+  const ordered = orderSteps(input)
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
   let workersLookedAt = 0
@@ -218,7 +225,7 @@
       expected: input.expected,
       nowMs: input.nowMs,
     })
-  for (const { step } of ordered) {
+  for (const step of ordered) {
     const limit = input.maxAssignments - assignments.length
     if (limit <= 0) break
     const planned = planStep(input, allCandidates, step, limit, failures, locality)
