--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,6 +1,8 @@
 /** `ebonyweir status` and `explain`: the state of the cell and the reasons for it. */
+import * as fs from 'node:fs'
 import type * as protocol from '@ebonyweir/protocol'
 import * as clipanion from 'clipanion'
+import * as results from 'ts-results-es'
 
 import * as baseCommand from '../baseCommand.js'
 import * as failures from '../failure.js'
@@ -41,23 +43,65 @@
     details: `
       Lists the decisions about the subject, each with the rule that caused it and who requested that rule.
 
-      Exit codes: 0 explained, 1 unknown subject, 4 unreachable.
+      With --submission, SUBJECT is the path of a submission to a queue, which ends with the id of the job, and
+      FILE holds its body. The command says where the tasks of that job would be placed now and why, and submits
+      nothing. For a job that was accepted it explains the tasks that wait.
+
+      Exit codes: 0 explained, 1 unknown subject, 2 usage, 4 unreachable.
     `,
     examples: [
       ['Why is this job waiting?', 'ebonyweir explain fitting-0917'],
       ['Where does this runner run?', 'ebonyweir explain service/swap-desk/3'],
+      [
+        'Where would this job run?',
+        'ebonyweir explain /quotes/00000000000000aa --host desk.example --submission job.json',
+      ],
     ],
   })
 
   subject = clipanion.Option.String({ name: 'SUBJECT' })
+  submission = clipanion.Option.String('--submission', {
+    description: 'File with the body of a submission that is not sent',
+  })
+  host = clipanion.Option.String('--host', { description: 'Host of the queue, for --submission' })
 
   override async run(): Promise<baseCommand.CommandResult> {
+    if (this.submission !== undefined) return this.explainSubmission(this.submission)
     const explained = await this.call<protocol.operatorApi.ExplainAnswer>({
       method: 'GET',
       path: `/v1/explain?subject=${encodeURIComponent(this.subject)}`,
     })
     return explained.map((answer) => ({ json: answer, text: renderExplanation(answer) }))
   }
+
+  private async explainSubmission(file: string): Promise<baseCommand.CommandResult> {
+    if (this.host === undefined) {
+      return results.Err(failures.createFailure('usage', 'name the host of the queue with --host'))
+    }
+    const job = readSubmission(file)
+    if (job.isErr()) return job
+    const explained = await this.call<protocol.operatorApi.ExplainAnswer>({
+      method: 'POST',
+      path: '/-/explain',
+      body: { host: this.host, path: this.subject, job: job.value },
+    })
+    return explained
+      .mapErr(withoutEffect)
+      .map((answer) => ({ json: answer, text: renderExplanation(answer) }))
+  }
+}
+
+/** A lost answer of an explanation leaves nothing in doubt. */
+const withoutEffect = (failure: failures.Failure): failures.Failure =>
+  failure.kind === 'unknown'
+    ? failures.createFailure('unreachable', 'the explanation got no answer', failure.details)
+    : failure
+
+const readSubmission = (file: string): results.Result<unknown, failures.Failure> => {
+  const read = results.Result.wrap<unknown, Error>(() => JSON.parse(fs.readFileSync(file, 'utf8')))
+  return read.mapErr(({ message }) =>
+    failures.createFailure('usage', `${file} cannot be read as JSON: ${message}`),
+  )
 }
 
 function renderExplanation(answer: protocol.operatorApi.ExplainAnswer): string {
--- a/packages/workflow-client/src/leaderClient.ts
+++ b/packages/workflow-client/src/leaderClient.ts
@@ -43,6 +43,7 @@
   readonly cancel: Call<protocol.workflow.JobQuery, protocol.workflow.CallReply>
   readonly inspect: Call<protocol.workflow.JobQuery, protocol.workflow.JobReply>
   readonly countPending: Call<protocol.workflow.JobQuery, protocol.workflow.PendingReply>
+  readonly explain: Call<protocol.workflow.SubmitRequest, protocol.workflow.ExplainReply>
   readonly configure: Call<protocol.workflow.QueueConfiguration, protocol.workflow.CallReply>
   readonly readConfiguration: Call<
     protocol.workflow.ConfigurationQuery,
@@ -312,6 +313,9 @@
     countPending: bind((client, request, settings, done) =>
       client.countPending(request, emptyMetadata(), settings, done),
     ),
+    explain: bind((client, request, settings, done) =>
+      client.explain(request, emptyMetadata(), settings, done),
+    ),
     configure: bind((client, request, settings, done) =>
       client.configure(request, emptyMetadata(), settings, done),
     ),
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -42,6 +42,8 @@
 export interface AssignmentRounds {
   /** Schedules a round if steps are ready. */
   readonly dispatch: () => void
+  /** Input of a round that would plan now. */
+  readonly currentInput: () => scheduling.PlacementInput
   readonly stop: () => void
 }
 
@@ -98,24 +100,25 @@
     cancelWaitEnd = clock.after(Math.max(1, Math.ceil(waitEndMs - now)), dispatch)
   }
 
+  const currentInput = (): scheduling.PlacementInput => ({
+    view,
+    workers: options.eligibleWorkers(),
+    expected,
+    nowMs: clock.timeOfDayMs(),
+    maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
+    disturbance,
+    fillerRank: options.fillerRank,
+    mayDisturb: options.mayDisturb,
+    waitedMs,
+    avoids: options.avoids,
+    ...(options.locality && { locality: options.locality }),
+  })
+
   const planRound = async (scope: Scope): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
     const beforeMs = ctx.work.totals().spentMs.plan
     const plan = ctx.work.measure('plan', () =>
-      planAssignments({
-        view,
-        skipBestEffort: scope === 'serving',
-        workers: options.eligibleWorkers(),
-        expected,
-        nowMs: clock.timeOfDayMs(),
-        maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
-        disturbance,
-        fillerRank: options.fillerRank,
-        mayDisturb: options.mayDisturb,
-        waitedMs,
-        avoids: options.avoids,
-        ...(options.locality && { locality: options.locality }),
-      }),
+      planAssignments({ ...currentInput(), skipBestEffort: scope === 'serving' }),
     )
     if (options.locality !== undefined) planAtWaitEnd(scope, plan.firstWaitEndMs)
     // No pause after a full round: another one can place more tasks.
@@ -176,6 +179,7 @@
 
   return {
     dispatch,
+    currentInput,
     stop: () => {
       stopped = true
       cancelDispatch?.()
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -4,6 +4,7 @@
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import type * as context from './context.js'
+import * as jobExplanation from './jobExplanation.js'
 
 const { CallOutcome, JobState } = protocol.workflow
 
@@ -14,6 +15,8 @@
   readonly cancel: (request: protocol.workflow.JobQuery) => Promise<CallReply>
   readonly inspect: (request: protocol.workflow.JobQuery) => protocol.workflow.JobReply
   readonly countPending: (request: protocol.workflow.JobQuery) => protocol.workflow.PendingReply
+  /** Explains where the tasks of a job would be placed now; the job is not submitted. */
+  readonly explain: (request: protocol.workflow.SubmitRequest) => protocol.workflow.ExplainReply
   readonly configure: (request: protocol.workflow.QueueConfiguration) => Promise<CallReply>
   readonly readConfiguration: () => Promise<protocol.workflow.ConfigurationReply>
   /** Gives a ticket for an order that its sender still waits for. */
@@ -29,6 +32,8 @@
   readonly onChange: () => void
   /** Whether a worker has reported a run of the job. */
   readonly hasStarted: (job: string) => boolean
+  /** Lines about the placement of a job; undefined without a term. @default none */
+  readonly explain?: (job: workflowState.JobView) => readonly string[] | undefined
 }
 
 const jobStates: Readonly<Record<workflowState.JobPhase, protocol.workflow.JobState>> = {
@@ -46,7 +51,7 @@
 
 export const createCallHandlers = (
   ctx: context.ControlContext,
-  { onChange, hasStarted }: CallOptions,
+  { onChange, hasStarted, explain = () => undefined }: CallOptions,
 ): CallHandlers => {
   const { logger } = ctx.options
   const admissionPolicy = scheduling.createAcceptAll()
@@ -225,6 +230,7 @@
     cancel,
     inspect,
     countPending,
+    explain: jobExplanation.createJobExplanation({ ctx, queueFor, explain }),
     configure,
     readConfiguration,
     prepareEvacuation,
--- a/packages/workflow-control/src/grpcServer.ts
+++ b/packages/workflow-control/src/grpcServer.ts
@@ -29,7 +29,7 @@
   readonly stop: (timeoutMs: number) => Promise<void>
 }
 
-const unary =
+export const unary =
   <Request, Reply>(handle: (request: Request) => Reply | Promise<Reply>) =>
   (call: { readonly request: Request }, callback: grpc.sendUnaryData<Reply>): void => {
     Promise.resolve(handle(call.request)).then(
@@ -154,6 +154,7 @@
     cancel: unary(parts.calls.cancel),
     inspect: unary(parts.calls.inspect),
     countPending: unary(parts.calls.countPending),
+    explain: unary(parts.calls.explain),
     configure: unary(parts.calls.configure),
     readConfiguration: unary(parts.calls.readConfiguration),
     prepareEvacuation: unary(parts.calls.prepareEvacuation),
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -79,6 +79,8 @@
   /** Schedules a round of assignments. */
   readonly dispatch: () => void
   readonly hasStarted: (job: string) => boolean
+  /** Lines that say where the waiting tasks of a job would be placed now, and why. */
+  readonly explain: (job: workflowState.JobView) => readonly string[]
   readonly sessionCount: () => number
   readonly stop: () => void
 }
@@ -682,6 +684,12 @@
     handleReport,
     dispatch: rounds.dispatch,
     hasStarted: (job) => startedJobs.has(job),
+    explain: (job) => {
+      const input = rounds.currentInput()
+      const steps = scheduling.explainPlacement(input, job)
+      if (steps.length === 0) return ['no task waits for a worker']
+      return steps.flatMap((step) => scheduling.describeStep(step, input.nowMs))
+    },
     sessionCount: () => byAgent.size,
     stop: () => {
       rounds.stop()
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -206,6 +206,7 @@
       calls: calls.createCallHandlers(ctx, {
         onChange,
         hasStarted: (job) => term?.hasStarted(job) ?? false,
+        explain: (job) => term?.explain(job),
       }),
       membership: group,
       term: () => (ctx.leadingTerm() === term?.term ? term : undefined),
--- a/packages/workflow-scheduling/__tests__/explainPlacement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/explainPlacement.spec.ts
@@ -8,6 +8,11 @@
 
 const CLAIM = { cpuMillis: 4_000, memoryMb: 10, accelerators: 0 }
 
+const specOf = (steps: readonly protocol.workflow.Step[]): protocol.workflow.JobSpec => ({
+  ...protocol.workflow.JobSpec.fromPartial({ id: 'asked' }),
+  steps: [...steps],
+})
+
 const createBusyCell = () => {
   const cell = createCell([
     worker('n', { rack: 'near', capacity: { cpuMillis: 4_000, memoryMb: 99, accelerators: 0 } }),
@@ -23,7 +28,7 @@
   steps: readonly protocol.workflow.Step[],
   fields: Partial<scheduling.PlacementInput> = {},
 ): readonly string[] => {
-  const spec = protocol.workflow.JobSpec.fromPartial({ id: 'asked', steps })
+  const spec = specOf(steps)
   const input = { ...cell.input(), ...fields }
   const job = scheduling.viewSubmission(spec, queue(), input.nowMs)
   if (job === undefined) return []
@@ -96,7 +101,7 @@
   it('is what the next round does with the job', () => {
     const cell = createBusyCell()
     const steps = [step({ taskCount: 3, claim: CLAIM })]
-    const spec = protocol.workflow.JobSpec.fromPartial({ id: 'asked', steps })
+    const spec = specOf(steps)
     const job = scheduling.viewSubmission(spec, queue(), 0)
     const placed = job && scheduling.explainPlacement(cell.input(), job)[0]?.placed
     cell.submit('asked', steps)
