--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -31,6 +31,8 @@
   readonly fillerRank: scheduling.PlacementInput['fillerRank']
   readonly mayDisturb: (step: workflowState.StepView) => boolean
   readonly avoids: scheduling.PlacementInput['avoids']
+  /** @default no task waits for a near worker */
+  readonly locality?: scheduling.LocalityWaits
   /** @default `planAssignments` of the scheduling package */
   readonly planAssignments?: typeof scheduling.planAssignments
   /** Sends the start orders of committed assignments to their workers. */
@@ -40,6 +42,8 @@
 export interface AssignmentRounds {
   /** Schedules a round if steps are ready. */
   readonly dispatch: () => void
+  /** Input of a round that would plan now. */
+  readonly currentInput: () => scheduling.PlacementInput
   readonly stop: () => void
 }
 
@@ -51,6 +55,9 @@
   let cancelDispatch: (() => void) | undefined
   /** Cancels the round that is scheduled for the end of a pause. */
   let cancelPause: (() => void) | undefined
+  /** Cancels the round that is scheduled for the end of a wait for a near worker. */
+  let cancelWaitEnd: (() => void) | undefined
+  let waitEndMs = Number.POSITIVE_INFINITY
   const pausedUntilMs: Record<Scope, number> = { all: 0, serving: 0 }
   let planning = false
   let planAgain = false
@@ -79,24 +86,41 @@
     cancelPause = clock.after(Math.ceil(waitMs), plan)
   }
 
+  /**
+   * Schedules a round for the end of the first wait; there is at most one such timer. A round that skips best-effort steps
+   * keeps an earlier end, which may be of such a step.
+   */
+  const planAtWaitEnd = (scope: Scope, endMs = Number.POSITIVE_INFINITY): void => {
+    const now = nowMs()
+    const isKept = scope === 'serving' && waitEndMs > now
+    waitEndMs = isKept ? Math.min(waitEndMs, endMs) : endMs
+    cancelWaitEnd?.()
+    cancelWaitEnd = undefined
+    if (waitEndMs === Number.POSITIVE_INFINITY) return
+    cancelWaitEnd = clock.after(Math.max(1, Math.ceil(waitEndMs - now)), dispatch)
+  }
+
+  const currentInput = (): scheduling.PlacementInput => ({
+    view,
+    workers: options.eligibleWorkers(),
+    expected,
+    nowMs: clock.timeOfDayMs(),
+    maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
+    disturbance,
+    fillerRank: options.fillerRank,
+    mayDisturb: options.mayDisturb,
+    waitedMs,
+    avoids: options.avoids,
+    ...(options.locality && { locality: options.locality }),
+  })
+
   const planRound = async (scope: Scope): Promise<void> => {
     if (ctx.leadingTerm() !== term) return
     const beforeMs = ctx.work.totals().spentMs.plan
     const plan = ctx.work.measure('plan', () =>
-      planAssignments({
-        view,
-        skipBestEffort: scope === 'serving',
-        workers: options.eligibleWorkers(),
-        expected,
-        nowMs: clock.timeOfDayMs(),
-        maxAssignments: MAX_ASSIGNMENTS_PER_ROUND,
-        disturbance,
-        fillerRank: options.fillerRank,
-        mayDisturb: options.mayDisturb,
-        waitedMs,
-        avoids: options.avoids,
-      }),
+      planAssignments({ ...currentInput(), skipBestEffort: scope === 'serving' }),
     )
+    if (options.locality !== undefined) planAtWaitEnd(scope, plan.firstWaitEndMs)
     // No pause after a full round: another one can place more tasks.
     if (plan.assignments.length < MAX_ASSIGNMENTS_PER_ROUND) pauseAfter(scope, beforeMs)
     ctx.work.count('rounds')
@@ -155,10 +179,12 @@
 
   return {
     dispatch,
+    currentInput,
     stop: () => {
       stopped = true
       cancelDispatch?.()
       cancelPause?.()
+      cancelWaitEnd?.()
     },
   }
 }
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -14,6 +14,7 @@
 import * as endMonitors from './endMonitor.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
 import * as bestEffortAccounting from './bestEffortAccounting.js'
+import * as localityDecisions from './localityDecisions.js'
 import type * as bestEffortPacing from './bestEffortPacing.js'
 import * as proposalBatch from './proposalBatch.js'
 import * as runLabels from './runLabels.js'
@@ -81,6 +82,8 @@
   /** Schedules a round of assignments. */
   readonly dispatch: () => void
   readonly hasStarted: (job: string) => boolean
+  /** Lines that say where the waiting tasks of a job would be placed now, and why. */
+  readonly explain: (job: workflowState.JobView) => readonly string[]
   readonly sessionCount: () => number
   /** What the model of task durations has learned in this term. */
   readonly learnedDurations: () => scheduling.LearnedCounts
@@ -211,7 +214,9 @@
       failedWorkers.delete(key)
       checkpoints.delete(key)
       if (step !== undefined && observed !== undefined && !step.spec.filling) {
-        observeDuration(worker, step, now - observed.startedMs)
+        const rack = byWorker.get(workflowState.workerKey(worker))?.worker?.rack
+        const slowdown = localityDecisions.slowdownOf(ctx, step, rack)
+        observeDuration(worker, step, (now - observed.startedMs) / slowdown)
       }
     }
     if (kind === EndKind.FAILED || (kind === EndKind.STOPPED && wasStalled)) {
@@ -376,7 +381,8 @@
       if (task.checkpoint !== '') {
         checkpoints.set(workflowState.taskKey(task.run), task.checkpoint)
       }
-      progress.update(active, task, key, now)
+      const slowdown = localityDecisions.slowdownOf(ctx, active.step, session.worker?.rack)
+      progress.update(active, task, key, now, slowdown)
       accounting.recordRunning(active, task, key)
     }
     if (unknown.length === 0) return
@@ -683,6 +689,7 @@
     fillerRank: ranks.rankOf,
     mayDisturb: ranks.isChosen,
     avoids: (task, worker) => failedWorkers.get(workflowState.taskKey(task))?.has(worker) ?? false,
+    locality: localityDecisions.createLocalityDecisions({ ctx, durations, progress }),
     planAssignments: policies.planAssignments,
     start: sendStarts,
   })
@@ -730,6 +737,12 @@
     handleReport,
     dispatch: rounds.dispatch,
     hasStarted: (job) => startedJobs.has(job),
+    explain: (job) => {
+      const input = rounds.currentInput()
+      const steps = scheduling.explainPlacement(input, job)
+      if (steps.length === 0) return ['no task waits for a worker']
+      return steps.flatMap((step) => scheduling.describeStep(step, input.nowMs))
+    },
     sessionCount: () => byAgent.size,
     learnedDurations: durations.learned,
     stop: () => {
