feat(workflow-scheduling): admission by expected completion, queue delay and gradient

The leader accepts every job until 20,000 are open, so under overload all late jobs wait for each other. The policies estimate the completion of a job from the work that precedes it and the course of the capacity, and spread the times at which refused callers return. Not used by the leader yet.

--- /dev/null
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -0,0 +1,286 @@
+/** Estimate of the completion time of a job that is not open yet, from the load of its service. */
+import type * as protocol from '@ebonyweir/protocol'
+import * as workflowState from '@ebonyweir/workflow-state'
+import type * as admissionLoad from './admissionLoad.js'
+import * as bestEffortRanking from './bestEffortRanking.js'
+import type * as capacityTrend from './capacityTrend.js'
+import * as draftJob from './draftJob.js'
+import type * as durations from './durations.js'
+import * as order from './order.js'
+
+/** Quantiles of the duration of the job's own tasks for the bounds; one job in ten is outside on either side. */
+const LOW_QUANTILE = 0.1
+const HIGH_QUANTILE = 0.9
+
+/**
+ * Error of the estimated work ahead, as a factor. Errors of single jobs, a factor of 1.5 and more, mostly cancel each other
+ * in the sum; the rest is the error that the jobs of a queue have in common.
+ */
+const WORK_ERROR_FACTOR = 1.25
+
+/** Times in milliseconds from the submission. */
+export interface CompletionEstimate {
+  /** Lower bound, expected time and upper bound of the completion. */
+  readonly lowMs: number
+  readonly expectedMs: number
+  readonly highMs: number
+  /** Time that the expected capacity needs for the work that precedes the job. */
+  readonly aheadMs: number
+  /** Time that the expected capacity needs for the job itself. */
+  readonly ownMs: number
+  readonly objectiveMs: number
+  /** Time after which the job has certainly no value. */
+  readonly expiryMs: number
+  readonly capacity: number
+}
+
+interface DraftTimes {
+  readonly chainMs: Readonly<Record<'low' | 'expected' | 'high', number>>
+  readonly objectiveMs: number
+  readonly expiryMs: number
+}
+
+type Steps = readonly workflowState.StepView[]
+
+const meanOf = ({ low, high }: capacityTrend.Bounds): number => (low + high) / 2
+
+const criticalPathMs = (steps: Steps, ownMs: (step: workflowState.StepView) => number): number =>
+  Math.max(0, ...order.chainsToEnd(steps, ownMs))
+
+const draftTimesOf = (
+  steps: Steps,
+  queue: protocol.workflow.Queue,
+  expected: durations.Durations,
+): DraftTimes => {
+  const high = criticalPathMs(steps, (step) => expected.quantileMs(step, HIGH_QUANTILE))
+  const mean = criticalPathMs(steps, expected.expect)
+  const objectiveOf = (chainMs: number): number =>
+    chainMs * queue.slackFactor + queue.latencyTargetMs
+  return {
+    chainMs: {
+      low: criticalPathMs(steps, (step) => expected.quantileMs(step, LOW_QUANTILE)),
+      expected: mean,
+      high,
+    },
+    objectiveMs: objectiveOf(mean),
+    // The objective grows with the duration, which is uncertain.
+    expiryMs: order.EXPIRY_FACTOR * objectiveOf(Math.max(mean, high)),
+  }
+}
+
+/** Whether work that precedes the job now still does so at `atMs`, when both may be late. */
+const isStillAhead = (
+  work: { readonly lateMs: number; readonly dropMs: number },
+  ownLateMs: number,
+  atMs: number,
+): boolean => atMs <= (atMs <= ownLateMs ? work.lateMs : work.dropMs)
+
+interface ReservedJob {
+  readonly steps: Steps
+  readonly times: DraftTimes
+  readonly urgency: order.Urgency
+  readonly requiredLabel: string
+}
+
+/** Time for which capacity of this size is busy with the work that precedes a job; an upper bound if `isUpper`. */
+const reservedAheadMs = (
+  job: ReservedJob,
+  load: admissionLoad.ServiceLoad,
+  cpuMillis: number,
+  memoryMb: number,
+  workFactor: number,
+  isUpper: boolean,
+): number => {
+  const { latestStartMs } = job.urgency
+  const ownLateMs = latestStartMs - load.timeOfDayMs
+  let cpuMs = 0
+  let memoryMs = 0
+  let lastReleaseMs = 0
+  for (const work of load.reserved.open) {
+    const { urgency } = work
+    if (urgency !== undefined && order.compareUrgency(urgency, job.urgency) > 0) continue
+    const atMs = Math.max(cpuMs, memoryMs)
+    if (!isUpper) {
+      // Work without the job's label may run elsewhere. In a gap before the next work, the job may start.
+      if (work.requiredLabel !== job.requiredLabel) continue
+      if (work.releaseMs > atMs) break
+      const lateMs = (urgency?.latestStartMs ?? Number.POSITIVE_INFINITY) - load.timeOfDayMs
+      if (urgency !== undefined && !isStillAhead({ ...work, lateMs }, ownLateMs, atMs)) continue
+    }
+    lastReleaseMs = work.releaseMs
+    cpuMs += (workFactor * work.cpuMillisMs) / Math.max(1, cpuMillis)
+    memoryMs += (workFactor * work.memoryMbMs) / Math.max(1, memoryMb)
+  }
+  return Math.max(cpuMs, memoryMs) + (isUpper ? lastReleaseMs : 0)
+}
+
+const workOf = (
+  steps: Steps,
+  taskMs: (step: workflowState.StepView) => number,
+): admissionLoad.ReservedWork => {
+  let cpuMillisMs = 0
+  let memoryMbMs = 0
+  for (const step of steps) {
+    const claim = workflowState.claimOf(step.spec)
+    const durationMs = taskMs(step) * step.spec.taskCount
+    cpuMillisMs += claim.cpuMillis * durationMs
+    memoryMbMs += claim.memoryMb * durationMs
+  }
+  return { cpuMillisMs, memoryMbMs }
+}
+
+const estimateReserved = (
+  steps: Steps,
+  times: DraftTimes,
+  load: admissionLoad.ServiceLoad,
+): CompletionEstimate | undefined => {
+  const first = steps[0]
+  const labels = new Set(steps.map(({ spec }) => spec.requiredLabel))
+  // Work that is spread over workers with different labels has no common capacity.
+  if (first === undefined || labels.size > 1) return undefined
+  const { requiredLabel } = first.spec
+  const capacity =
+    requiredLabel === '' ? load.reserved.capacity : load.reserved.capacityOfLabel.get(requiredLabel)
+  if (capacity === undefined) return undefined
+  const { cpuMillis, memoryMb } = capacity
+  const { expected } = load
+  const urgency = {
+    priority: first.job.queue.priority,
+    outlook: 'in-time' as const,
+    latestStartMs: load.timeOfDayMs + times.objectiveMs - times.chainMs.expected,
+  }
+  const job = { steps, times, urgency, requiredLabel }
+  const ownMs = (bound: (bounds: capacityTrend.Bounds) => number, quantile?: number): number => {
+    const work = workOf(steps, (step) =>
+      quantile === undefined ? expected.expect(step) : expected.quantileMs(step, quantile),
+    )
+    return Math.max(
+      work.cpuMillisMs / Math.max(1, bound(cpuMillis)),
+      work.memoryMbMs / Math.max(1, bound(memoryMb)),
+    )
+  }
+  const lowAheadMs = reservedAheadMs(
+    job,
+    load,
+    cpuMillis.high,
+    memoryMb.high,
+    1 / WORK_ERROR_FACTOR,
+    false,
+  )
+  const aheadMs = reservedAheadMs(job, load, meanOf(cpuMillis), meanOf(memoryMb), 1, false)
+  const highAheadMs = reservedAheadMs(
+    job,
+    load,
+    cpuMillis.low,
+    memoryMb.low,
+    WORK_ERROR_FACTOR,
+    true,
+  )
+  const ownLowMs = ownMs(({ high }) => high, LOW_QUANTILE)
+  const ownExpectedMs = ownMs(meanOf)
+  return {
+    lowMs: lowAheadMs + Math.max(times.chainMs.low, ownLowMs),
+    expectedMs: aheadMs + Math.max(times.chainMs.expected, ownExpectedMs),
+    highMs: highAheadMs + times.chainMs.high + ownMs(({ low }) => low, HIGH_QUANTILE),
+    aheadMs,
+    ownMs: ownExpectedMs,
+    objectiveMs: times.objectiveMs,
+    expiryMs: times.expiryMs,
+    capacity: meanOf(cpuMillis) / 1_000,
+  }
+}
+
+const taskMsOf = (steps: Steps, taskMs: (step: workflowState.StepView) => number): number =>
+  steps.reduce((sum, step) => sum + taskMs(step) * step.spec.taskCount, 0)
+
+/** Jobs that precede `own` in the ranking, first ones first. */
+const bestEffortAhead = (
+  own: bestEffortRanking.BestEffortJob,
+  { jobs, selected }: admissionLoad.BestEffortLoad,
+  supply: number,
+): readonly bestEffortRanking.BestEffortJob[] => {
+  const { ranks, chosen } = bestEffortRanking.rankBestEffortJobs([...jobs, own], supply, selected)
+  if (chosen.has(own.key)) return []
+  const rankOf = ({ key }: bestEffortRanking.BestEffortJob): number =>
+    ranks.get(key) ?? Number.MAX_SAFE_INTEGER
+  const ownRank = rankOf(own)
+  return jobs.filter((job) => rankOf(job) < ownRank).sort((a, b) => rankOf(a) - rankOf(b))
+}
+
+/** Lower bound of the time for which the supply is busy with jobs that precede `own`. */
+const bestEffortAheadMs = (
+  own: bestEffortRanking.BestEffortJob,
+  ahead: readonly bestEffortRanking.BestEffortJob[],
+  selected: ReadonlySet<string>,
+  supply: number,
+  workFactor: number,
+): number => {
+  let atMs = 0
+  for (const { key, remainingMs, chainMs, untilDueMs, untilExpiryMs } of ahead) {
+    const dropMs = untilExpiryMs - chainMs
+    const lateMs = selected.has(key) ? dropMs : untilDueMs - chainMs
+    if (!isStillAhead({ lateMs, dropMs }, own.untilDueMs - own.chainMs, atMs)) continue
+    atMs += (workFactor * remainingMs) / Math.max(Number.EPSILON, supply)
+  }
+  return atMs
+}
+
+const estimateBestEffort = (
+  key: string,
+  steps: Steps,
+  times: DraftTimes,
+  load: admissionLoad.ServiceLoad,
+): CompletionEstimate => {
+  const { expected, bestEffort } = load
+  const { supply, selected } = bestEffort
+  const totalMs = taskMsOf(steps, expected.expect)
+  const own = {
+    key,
+    totalMs,
+    remainingMs: totalMs,
+    chainMs: times.chainMs.expected,
+    untilDueMs: times.objectiveMs,
+    untilExpiryMs: order.EXPIRY_FACTOR * times.objectiveMs,
+  }
+  const plannedSupply = supply.low * bestEffortRanking.PLANNED_SUPPLY_SHARE
+  const ahead = bestEffortAhead(own, bestEffort, supply.high)
+  const lowAheadMs = bestEffortAheadMs(own, ahead, selected, supply.high, 1 / WORK_ERROR_FACTOR)
+  const aheadMs = bestEffortAheadMs(own, ahead, selected, meanOf(supply), 1)
+  const highAheadTaskMs = bestEffortAhead(own, bestEffort, plannedSupply).reduce(
+    (sum, { remainingMs }) => sum + remainingMs,
+    0,
+  )
+  const ownMs = (supplied: number, quantile: number): number =>
+    taskMsOf(steps, (step) => expected.quantileMs(step, quantile)) /
+    Math.max(Number.EPSILON, supplied)
+  const ownExpectedMs = totalMs / Math.max(Number.EPSILON, meanOf(supply))
+  return {
+    lowMs: lowAheadMs + Math.max(times.chainMs.low, ownMs(supply.high, LOW_QUANTILE)),
+    expectedMs: aheadMs + Math.max(times.chainMs.expected, ownExpectedMs),
+    highMs:
+      (WORK_ERROR_FACTOR * highAheadTaskMs) / Math.max(Number.EPSILON, plannedSupply) +
+      times.chainMs.high +
+      ownMs(plannedSupply, HIGH_QUANTILE),
+    aheadMs,
+    ownMs: ownExpectedMs,
+    objectiveMs: times.objectiveMs,
+    expiryMs: times.expiryMs,
+    capacity: meanOf(supply),
+  }
+}
+
+/** Estimates the completion of a job; undefined for jobs that have no completion time or mix kinds of work. */
+export const estimateCompletion = (
+  spec: protocol.workflow.JobSpec,
+  queue: protocol.workflow.Queue,
+  load: admissionLoad.ServiceLoad,
+): CompletionEstimate | undefined => {
+  if (spec.repetitions > 0 || spec.steps.some(({ lasting }) => lasting)) return undefined
+  const steps = draftJob.draftSteps(spec, queue, load.timeOfDayMs)
+  const bestEffortCount = spec.steps.filter(({ filling }) => filling).length
+  if (bestEffortCount !== 0 && bestEffortCount !== spec.steps.length) return undefined
+  const times = draftTimesOf(steps, queue, load.expected)
+  return bestEffortCount === 0
+    ? estimateReserved(steps, times, load)
+    : estimateBestEffort(`${spec.id}/0`, steps, times, load)
+}
--- a/packages/workflow-scheduling/src/index.ts
+++ b/packages/workflow-scheduling/src/index.ts
@@ -3,8 +3,16 @@
  * clock; the time is an argument.
  */
 export * from './admission.js'
+export type * from './admissionLoad.js'
 export * from './alarm.js'
+export * from './capacityTrend.js'
+export * from './completionEstimate.js'
+export * from './draftJob.js'
 export * from './durations.js'
+export * from './expectedCompletion.js'
+export * from './gradient.js'
+export * from './queueDelay.js'
+export * from './retrySchedule.js'
 export * from './bestEffortRanking.js'
 export * from './bestEffortSupply.js'
 export * from './bestEffortWorkerSearch.js'
