feat(workflow-control): the leader's term decides on admission

A job whose commit is pending is not refused, since another entry may have submitted it. The experiment on best-effort jobs gets a load factor and one variant for each policy.

--- a/packages/experiment/src/fillers/jobValue.ts
+++ b/packages/experiment/src/fillers/jobValue.ts
@@ -9,7 +9,7 @@
 const FIXED_VALUE_SHARE = 0.3
 
 /** Jobs submitted in this time before the end of the traffic do not count: too little time is left to complete them. */
-const EXCLUDED_END_MS = 10_000
+export const EXCLUDED_END_MS = 10_000
 
 /** Interval in which a long-running task earns value. */
 export const LONG_RUNNING_VALUE_INTERVAL_MS = 2_000
@@ -29,15 +29,25 @@
   return tookMs <= objectiveMs(job) * LATE_LIMIT_FACTOR ? LATE_VALUE_SHARE : 0
 }
 
-/** Best-effort jobs that count towards the value. */
+/** Jobs of a kind that count towards the value. */
 export const eligibleJobs = (
   jobs: readonly load.SimulatedJob[],
   trafficMs: number,
+  kind: load.JobKind = 'filling',
 ): readonly load.SimulatedJob[] =>
   jobs.filter(
-    ({ kind, atMs }) => kind === 'filling' && atMs <= load.WARM_UP_MS + trafficMs - EXCLUDED_END_MS,
+    (job) => job.kind === kind && job.atMs <= load.WARM_UP_MS + trafficMs - EXCLUDED_END_MS,
   )
 
+/** Time from the submission after which a job earns nothing. */
+export const expiryMs = (job: load.SimulatedJob): number => objectiveMs(job) * LATE_LIMIT_FACTOR
+
+/** Value that was earned, in jobs of the mean size of the eligible ones. */
+export const goodputJobs = (
+  eligible: readonly load.SimulatedJob[],
+  endedMs: ReadonlyMap<string, number>,
+): number => eligible.length * bestEffortValue(eligible, endedMs)
+
 /** Share of the value of the eligible jobs that was earned; `endedMs` holds the end time of completed jobs by id. */
 export const bestEffortValue = (
   eligible: readonly load.SimulatedJob[],
--- a/packages/experiment/src/fillers/load.ts
+++ b/packages/experiment/src/fillers/load.ts
@@ -18,6 +18,8 @@
   readonly demand: number
   /** Share of all cores that long-running tasks reserve. */
   readonly reserved: number
+  /** Factor of the arrival rate of short latency-critical and of best-effort jobs. @default 1 */
+  readonly loadFactor?: number
   /** Time in which jobs arrive. */
   readonly trafficMs: number
 }
@@ -232,15 +234,19 @@
 
 export const drawLoad = (options: LoadOptions): readonly SimulatedJob[] => [
   ...longRunningJobs(options),
-  ...drawJobs('filling', options, options.demand, (draw) => {
+  ...drawJobs('filling', options, options.demand * (options.loadFactor ?? 1), (draw) => {
     const isWide = draw() < 0.5
     return Array.from({ length: BEST_EFFORT_STEP_COUNT }, () =>
       drawBestEffortStep(options, draw, isWide),
     )
   }),
-  ...drawJobs('serving', options, SHORT_LATENCY_CRITICAL_SHARE, (draw) =>
-    Array.from({ length: draw() < LATENCY_CRITICAL_SECOND_STEP_SHARE ? 2 : 1 }, () =>
-      drawLatencyCriticalStep(options, draw),
-    ),
+  ...drawJobs(
+    'serving',
+    options,
+    SHORT_LATENCY_CRITICAL_SHARE * (options.loadFactor ?? 1),
+    (draw) =>
+      Array.from({ length: draw() < LATENCY_CRITICAL_SECOND_STEP_SHARE ? 2 : 1 }, () =>
+        drawLatencyCriticalStep(options, draw),
+      ),
   ),
 ]
--- a/packages/experiment/src/fillers/main.ts
+++ b/packages/experiment/src/fillers/main.ts
@@ -23,6 +23,8 @@
     /** Tasks in a step; depends on the number of workers if 0. */
     width: { type: 'string', default: '0' },
     seconds: { type: 'string', default: '50' },
+    /** Factors of the arrival rate, separated by commas. */
+    load: { type: 'string', default: '1' },
   },
 })
 
@@ -41,6 +43,13 @@
     ...SHARES.map((what) => percent(day.bestEffortTimeShares[what])),
     day.fullSpeedTasksPerWorker.toFixed(2),
     percent(day.onTimeWorkShare),
+    day.bestEffortGoodput.toFixed(3),
+    day.shortGoodput.toFixed(2),
+    day.shortValue.toFixed(3),
+    [day.inTime, day.late, day.worthless, day.refused].map((count) => count.toFixed(0)).join('/'),
+    day.refusals.toFixed(0),
+    Math.round(day.badNewsMs),
+    day.completionRatio.toFixed(2),
   ].join(' | ')
 
 const mean = (numbers: readonly number[]): number =>
@@ -65,6 +74,16 @@
     },
     fullSpeedTasksPerWorker: meanOf((day) => day.fullSpeedTasksPerWorker),
     onTimeWorkShare: meanOf((day) => day.onTimeWorkShare),
+    bestEffortGoodput: meanOf((day) => day.bestEffortGoodput),
+    shortGoodput: meanOf((day) => day.shortGoodput),
+    shortValue: meanOf((day) => day.shortValue),
+    inTime: meanOf((day) => day.inTime),
+    late: meanOf((day) => day.late),
+    worthless: meanOf((day) => day.worthless),
+    refused: meanOf((day) => day.refused),
+    refusals: meanOf((day) => day.refusals),
+    badNewsMs: meanOf((day) => day.badNewsMs),
+    completionRatio: meanOf((day) => day.completionRatio),
   }
 }
 
@@ -78,6 +97,13 @@
   ...SHARES.map((what) => `${what} %`),
   'full-speed tasks per worker',
   'work in time %',
+  'filling goodput/s',
+  'serving goodput/s',
+  'serving worth',
+  'in time/late/worthless/refused',
+  'refusals',
+  'bad news ms',
+  'actual/expected end',
 ]
 
 const writeRow = (line: string): void => {
@@ -88,28 +114,31 @@
 for (const workers of values.workers.split(',').map(Number)) {
   const isLarge = workers >= LARGE_DEPLOYMENT_WORKERS
   const width = Number(values.width) || (isLarge ? LARGE_WIDTH : SMALL_WIDTH)
-  process.stdout.write(
-    `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}\n\n`,
-  )
-  writeRow(HEADER.join(' | '))
-  writeRow(HEADER.map(() => '---').join(' | '))
-  for (const variant of selectedVariants) {
-    const days: simulation.DayResult[] = []
-    for (let seed = 1; seed <= Number(values.seeds); seed += 1) {
-      const day = await simulation.simulateDay({
-        seed,
-        workers,
-        cores: values.cores === '32' ? 32 : 16,
-        width,
-        widthSpread: isLarge ? LARGE_SPREAD : SMALL_SPREAD,
-        demand: Number(values.demand),
-        reserved: Number(values.reserved),
-        trafficMs: Number(values.seconds) * 1_000,
-        variant,
-      })
-      days.push(day)
-      writeRow(rowOf(variant.name, String(seed), day))
+  for (const loadFactor of values.load.split(',').map(Number)) {
+    process.stdout.write(
+      `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}, load ${loadFactor}\n\n`,
+    )
+    writeRow(HEADER.join(' | '))
+    writeRow(HEADER.map(() => '---').join(' | '))
+    for (const variant of selectedVariants) {
+      const days: simulation.DayResult[] = []
+      for (let seed = 1; seed <= Number(values.seeds); seed += 1) {
+        const day = await simulation.simulateDay({
+          seed,
+          workers,
+          cores: values.cores === '32' ? 32 : 16,
+          width,
+          widthSpread: isLarge ? LARGE_SPREAD : SMALL_SPREAD,
+          demand: Number(values.demand),
+          reserved: Number(values.reserved),
+          loadFactor,
+          trafficMs: Number(values.seconds) * 1_000,
+          variant,
+        })
+        days.push(day)
+        writeRow(rowOf(variant.name, String(seed), day))
+      }
+      writeRow(rowOf(variant.name, 'mean', meanDay(days)))
     }
-    writeRow(rowOf(variant.name, 'mean', meanDay(days)))
   }
 }
--- a/packages/experiment/src/fillers/simulation.ts
+++ b/packages/experiment/src/fillers/simulation.ts
@@ -25,6 +25,9 @@
 /** Planning time for each pair of an examined task and a worker. */
 const PLANNING_MS_PER_TASK_AND_WORKER = 0.001
 
+/** Unit of the delays that refused callers are told. */
+const MS_PER_SECOND = 1_000
+
 /** Time after the end of the traffic in which jobs may still complete. */
 const COOL_DOWN_MS = 10_000
 
@@ -40,6 +43,22 @@
   /** Best-effort jobs that count towards the value, and those of them that completed. */
   readonly eligible: number
   readonly completed: number
+  /** Value that the eligible best-effort and short latency-critical jobs earned, in jobs of the mean size per second. */
+  readonly bestEffortGoodput: number
+  readonly shortGoodput: number
+  /** Share of the eligible short latency-critical jobs' value that was earned. */
+  readonly shortValue: number
+  /** Eligible jobs of both kinds that ended within their objective, later with a value, without one, and that were never accepted. */
+  readonly inTime: number
+  readonly late: number
+  readonly worthless: number
+  readonly refused: number
+  /** Refusals, including those of jobs that were accepted when they returned. */
+  readonly refusals: number
+  /** Mean time from the submission to the answer that a job without any value got: its refusal, or its expiry. */
+  readonly badNewsMs: number
+  /** Mean ratio of actual to expected completion time of accepted jobs, as sums; 0 without estimates. */
+  readonly completionRatio: number
   /** Time of best-effort tasks by kind, as shares of their total time. */
   readonly bestEffortTimeShares: Readonly<Record<workflowControl.BestEffortTimeKind, number>>
   /** Best-effort work during the traffic, as the mean number of tasks at full speed per worker. */
@@ -93,6 +112,10 @@
   const endedMs = new Map<string, number>()
   const workByJobMs = new Map<string, number>()
   const workStatistics = createSimulatedWorkStatistics(nowMs, options.workers)
+  const admissionCounter = workflowControl.createAdmissionCounter()
+  /** Latest refusal of each job that was not accepted, and the number of all refusals. */
+  const refusedMs = new Map<string, number>()
+  let refusals = 0
   let underTargetCount = 0
   let longRunningSampleCount = 0
 
@@ -111,6 +134,10 @@
       options: {
         logger: createSilentLogger(),
         timing: workflowControl.resolveTiming({ maxLeaseMs: MAX_LEASE_MS }).unwrap(),
+        scheduling: {
+          ...workflowControl.DEFAULT_SCHEDULING_OPTIONS,
+          admissionPolicy: variant.admission ?? 'accept-all',
+        },
       },
       view: state.view,
       nowMs,
@@ -122,6 +149,7 @@
     TERM,
     undefined,
     variants.policiesOf(variant),
+    admissionCounter,
   )
 
   const workloadOf = (run: protocol.workflow.TaskRun): workers.TaskWorkload => {
@@ -171,16 +199,33 @@
   clock.every(STEP_MS, () => {
     for (const worker of simulatedWorkers) worker.step(STEP_MS)
     for (const job of jobs) {
-      if (job.kind !== 'filling' || endedMs.has(job.spec.id)) continue
+      if (job.kind === 'lasting' || endedMs.has(job.spec.id)) continue
       if (state.view.jobs.get(job.spec.id)?.phase === 'completed') endedMs.set(job.spec.id, nowMs())
     }
   })
-  for (const job of jobs) {
-    clock.at(job.atMs, () => {
+  /** Submits a job; a refused caller returns when it was told to, unless the job has no value left by then. */
+  const submit = (job: load.SimulatedJob): void => {
+    const { spec, queue } = job
+    const admission = term.admit({ spec, queue, callerDomain: '' })
+    if (admission.kind === 'accepted') {
+      refusedMs.delete(spec.id)
       clock.after(COMMIT_DELAY_MS, () => {
-        apply({ $case: 'submit', value: { spec: job.spec, queue: job.queue } })
+        apply({ $case: 'submit', value: { spec, queue } })
         term.dispatch()
       })
+      return
+    }
+    refusals += 1
+    refusedMs.set(spec.id, nowMs())
+    const waitMs = Math.ceil(admission.retryAfterMs / MS_PER_SECOND) * MS_PER_SECOND
+    if (nowMs() + waitMs >= job.atMs + jobValue.expiryMs(job)) return
+    clock.after(waitMs, () => {
+      submit(job)
+    })
+  }
+  for (const job of jobs) {
+    clock.at(job.atMs, () => {
+      submit(job)
     })
   }
 
@@ -210,6 +255,17 @@
     (sum, [what, ms]) => sum + (what === 'lost' ? 0 : ms),
     0,
   )
+  const shortJobs = jobValue.eligibleJobs(jobs, trafficMs, 'serving')
+  const allJobs = [...eligibleJobs, ...shortJobs]
+  const tookMs = (job: load.SimulatedJob): number =>
+    (endedMs.get(job.spec.id) ?? Number.POSITIVE_INFINITY) - job.atMs
+  const inTime = allJobs.filter((job) => tookMs(job) <= jobValue.objectiveMs(job)).length
+  const refused = allJobs.filter(({ spec }) => refusedMs.has(spec.id)).length
+  const worthless = allJobs.filter((job) => tookMs(job) > jobValue.expiryMs(job))
+  const badNews = worthless.map(
+    (job) => (refusedMs.get(job.spec.id) ?? job.atMs + jobValue.expiryMs(job)) - job.atMs,
+  )
+  const countedSeconds = (trafficMs - jobValue.EXCLUDED_END_MS) / MS_PER_SECOND
   const shareOf = (ms: number): number => ms / Math.max(1, bestEffortTotalMs)
   const onTimeWork = [...workByJobMs].filter(([id]) => {
     const job = byId.get(id)
@@ -225,6 +281,16 @@
     ),
     eligible: eligibleJobs.length,
     completed: eligibleJobs.filter(({ spec }) => endedMs.has(spec.id)).length,
+    bestEffortGoodput: jobValue.goodputJobs(eligibleJobs, endedMs) / countedSeconds,
+    shortGoodput: jobValue.goodputJobs(shortJobs, endedMs) / countedSeconds,
+    shortValue: jobValue.bestEffortValue(shortJobs, endedMs),
+    inTime,
+    late: allJobs.length - inTime - worthless.length,
+    worthless: worthless.length - refused,
+    refused,
+    refusals,
+    badNewsMs: badNews.reduce((sum, ms) => sum + ms, 0) / Math.max(1, badNews.length),
+    completionRatio: admissionCounter.actualMs / Math.max(1, admissionCounter.expectedMs),
     bestEffortTimeShares: {
       waiting: shareOf(bestEffortMs.waiting),
       starting: shareOf(bestEffortMs.starting),
--- a/packages/experiment/src/fillers/variants.ts
+++ b/packages/experiment/src/fillers/variants.ts
@@ -8,6 +8,8 @@
 export interface Variant {
   readonly name: string
   readonly change: (policies: TermPolicies) => TermPolicies
+  /** @default 'accept-all' */
+  readonly admission?: workflowControl.AdmissionPolicyName
 }
 
 /** Share of its reservation that a latency-critical task is assumed to use where reservations do not count in full. */
@@ -18,7 +20,11 @@
 
 const firstComeFirstServed = (policies: TermPolicies): TermPolicies => ({
   ...policies,
-  createBestEffortRanks: () => ({ rankOf: ({ job }) => job.submittedMs, isChosen: () => true }),
+  createBestEffortRanks: () => ({
+    rankOf: ({ job }) => job.submittedMs,
+    isChosen: () => true,
+    loadOf: () => undefined,
+  }),
 })
 
 /** Keeps the ranks, but does not select jobs by supply. */
@@ -167,6 +173,13 @@
   { name: 'rank by use', change: rankByAssumedUse(ASSUMED_USE_SHARE) },
   { name: 'pace by use', change: paceByAssumedUse(ASSUMED_USE_SHARE) },
   { name: 'use everywhere', change: assumeUseEverywhere(ASSUMED_USE_SHARE) },
+  { name: 'admission queue-delay', change: (policies) => policies, admission: 'queue-delay' },
+  { name: 'admission gradient', change: (policies) => policies, admission: 'gradient' },
+  {
+    name: 'admission expected-completion',
+    change: (policies) => policies,
+    admission: 'expected-completion',
+  },
   { name: 'reservations not counted', change: assumeUseEverywhere(0) },
 ]
 
--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -27,11 +27,23 @@
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
 }
 
+/** Jobs of one service that compete for the best-effort supply, as of the newest ranking. */
+export interface RankedLoad {
+  /** Monotonic time of the ranking. */
+  readonly atMs: number
+  readonly jobs: readonly scheduling.BestEffortJob[]
+  /** Keys of the jobs for which the supply sufficed. */
+  readonly chosen: ReadonlySet<string>
+  readonly supply: number
+}
+
 export interface BestEffortRanks {
   /** Rank of a best-effort step; lower ranks are placed first. */
   readonly rankOf: (step: workflowState.StepView) => number
   /** Whether the supply suffices for the job of a best-effort step; only such jobs may slow latency-critical tasks. */
   readonly isChosen: (step: workflowState.StepView) => boolean
+  /** Load of a service, ranked anew if the newest ranking is outdated; undefined if no job competes. */
+  readonly loadOf: (service: string) => RankedLoad | undefined
 }
 
 /** Cached `occurrenceKey`s; each plan and each report needs them for many steps. */
@@ -55,6 +67,7 @@
   /** Occurrences for which the supply sufficed in the newest ranking. */
   let chosen: ReadonlySet<string> = new Set()
   const supplies = new Map<string, scheduling.BestEffortSupply>()
+  let loads: ReadonlyMap<string, RankedLoad> = new Map()
   let rankedMs = Number.NEGATIVE_INFINITY
   let pauseMs = 0
 
@@ -124,6 +137,7 @@
     const atMs = timeOfDayMs()
     const next = new Map<string, number>()
     const nextChosen = new Set<string>()
+    const nextLoads = new Map<string, RankedLoad>()
     const workers = options.eligibleWorkers()
     const competing = competingSteps()
     for (const [service, steps] of competing) {
@@ -139,10 +153,12 @@
       const order = scheduling.rankBestEffortJobs(jobs, supply, chosen)
       for (const [key, position] of order.ranks) next.set(key, position)
       for (const key of order.chosen) nextChosen.add(key)
+      nextLoads.set(service, { atMs: startedMs, jobs, chosen: order.chosen, supply })
     }
     for (const service of supplies.keys()) if (!competing.has(service)) supplies.delete(service)
     ranks = next
     chosen = nextChosen
+    loads = nextLoads
     rankedMs = nowMs()
     pauseMs = PAUSE_FACTOR * (rankedMs - startedMs)
   }
@@ -166,5 +182,10 @@
       rankIfOutdated(step, key)
       return chosen.has(key)
     },
+    loadOf: (service) => {
+      const ageMs = nowMs() - rankedMs
+      if (ageMs >= pauseMs && ageMs > MAX_RANK_AGE_MS) options.work.measure('rank', rank)
+      return loads.get(service)
+    },
   }
 }
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -29,6 +29,8 @@
   readonly onChange: () => void
   /** Whether a worker has reported a run of the job. */
   readonly hasStarted: (job: string) => boolean
+  /** Decides on the submission of a job that is not open. @default accepts until too many jobs are open */
+  readonly admit?: (request: scheduling.AdmissionRequest) => scheduling.Admission
 }
 
 const jobStates: Readonly<Record<workflowState.JobPhase, protocol.workflow.JobState>> = {
@@ -44,12 +46,22 @@
 const isDefinitelyRefused = (error: replica.ProposeError): boolean =>
   error.kind === 'overloaded' || error.kind === 'too-large'
 
+/** Rounds a number for a log line. */
+const rounded2 = (value: number): number => Math.round(value * 100) / 100
+
+/** Admission while no term decides. */
+const acceptAll = (
+  ctx: Pick<context.ControlContext, 'view' | 'nowMs'>,
+): NonNullable<CallOptions['admit']> => {
+  const policy = scheduling.createAcceptAll()
+  return (request) => policy.decide(request, { view: ctx.view }, ctx.nowMs())
+}
+
 export const createCallHandlers = (
   ctx: context.ControlContext,
-  { onChange, hasStarted }: CallOptions,
+  { onChange, hasStarted, admit = acceptAll(ctx) }: CallOptions,
 ): CallHandlers => {
   const { logger } = ctx.options
-  const admissionPolicy = scheduling.createAcceptAll()
 
   const reply = (
     outcome: protocol.workflow.CallOutcome,
@@ -75,6 +87,38 @@
     return reply(CallOutcome.OK)
   }
 
+  const logRefusal = (
+    { id }: protocol.workflow.JobSpec,
+    queue: protocol.workflow.Queue,
+    { reason, detail, retryAfterMs, inputs }: scheduling.Admission & { readonly kind: 'refused' },
+  ): void => {
+    const values: readonly (readonly [string, number])[] = Object.entries(inputs ?? {})
+    const rounded = values.map(([name, value]) => [name, rounded2(value)] as const)
+    logger.info('job refused', {
+      job: id,
+      queue: queue.name,
+      reason,
+      detail,
+      retryAfterMs: Math.ceil(retryAfterMs),
+      ...Object.fromEntries(rounded),
+    })
+  }
+
+  /** Number of pending commits of each job that is submitted. */
+  const pendingSubmissions = new Map<string, number>()
+
+  const commitSubmission = async (
+    spec: protocol.workflow.JobSpec,
+    queue: protocol.workflow.Queue,
+  ): Promise<CallReply> => {
+    pendingSubmissions.set(spec.id, (pendingSubmissions.get(spec.id) ?? 0) + 1)
+    const answer = await commit({ $case: 'submit', value: { spec, queue } })
+    const left = (pendingSubmissions.get(spec.id) ?? 0) - 1
+    if (left > 0) pendingSubmissions.set(spec.id, left)
+    else pendingSubmissions.delete(spec.id)
+    return answer
+  }
+
   const submit: CallHandlers['submit'] = async ({ host, path, spec }) => {
     if (ctx.leadingTerm() === undefined) return notLeading()
     if (ctx.view.configuration === undefined) return reply(CallOutcome.UNCONFIGURED)
@@ -85,14 +129,16 @@
     if (queue === undefined) return reply(CallOutcome.NO_QUEUE)
     const checked = workflowState.checkJobSpec(spec)
     if (checked.isErr()) return reply(CallOutcome.INVALID, { detail: checked.error })
-    const request = { spec, queue, callerDomain: '' }
-    const admission = admissionPolicy.decide(request, { view: ctx.view }, ctx.nowMs())
-    if (admission.kind === 'refused') {
-      const { reason, retryAfterMs, detail } = admission
-      logger.info('job refused', { job: spec.id, queue: queue.name, reason, detail })
-      return reply(CallOutcome.OVERLOADED, { retryAfterMs, detail })
+    // Another entry may have submitted the job, and a refusal would be false once that commit succeeds.
+    if (!pendingSubmissions.has(spec.id)) {
+      const admission = admit({ spec, queue, callerDomain: '' })
+      if (admission.kind === 'refused') {
+        logRefusal(spec, queue, admission)
+        const { retryAfterMs, detail } = admission
+        return reply(CallOutcome.OVERLOADED, { retryAfterMs: Math.ceil(retryAfterMs), detail })
+      }
     }
-    const answer = await commit({ $case: 'submit', value: { spec, queue } })
+    const answer = await commitSubmission(spec, queue)
     const { version } = ctx.view.configuration
     logger.info('job submitted', {
       job: spec.id,
--- a/packages/workflow-control/src/index.ts
+++ b/packages/workflow-control/src/index.ts
@@ -1,4 +1,5 @@
 /** Control role for graph jobs: one replica of the group, which serves entries, operators and worker agents. */
+export * from './admissionCounter.js'
 export type * from './clock.js'
 export type * from './context.js'
 export type * from './bestEffortPacing.js'
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -5,12 +5,14 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as admissionCounters from './admissionCounter.js'
 import * as assignmentRounds from './assignmentRounds.js'
 import * as clocks from './clock.js'
 import type * as context from './context.js'
 import * as disruptionBudgets from './disruptionBudget.js'
 import * as endProcessors from './endProcessor.js'
 import * as endMonitors from './endMonitor.js'
+import * as jobAdmission from './jobAdmission.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
 import * as bestEffortAccounting from './bestEffortAccounting.js'
 import type * as bestEffortPacing from './bestEffortPacing.js'
@@ -20,6 +22,7 @@
 import * as runStops from './runStops.js'
 import * as termPolicies from './termPolicies.js'
 import * as waitMonitors from './waitMonitor.js'
+import * as schedulingOptions from './schedulingOptions.js'
 import * as sessions from './workerSession.js'
 
 const { EndKind, RejectionReason } = protocol.workflow
@@ -77,6 +80,8 @@
   ) => void
   /** Schedules a round of assignments. */
   readonly dispatch: () => void
+  /** Decides on the submission of a job that is not open; only a leader with a valid lease may ask. */
+  readonly admit: jobAdmission.JobAdmission['admit']
   readonly hasStarted: (job: string) => boolean
   readonly sessionCount: () => number
   readonly stop: () => void
@@ -91,6 +96,7 @@
   term: number,
   endCounter = endMonitors.createEndCounter(),
   policies: termPolicies.TermPolicies = termPolicies.DEFAULT_TERM_POLICIES,
+  admissionCounter = admissionCounters.createAdmissionCounter(),
 ): LeaderTerm => {
   const { logger, timing } = ctx.options
   const { view, nowMs, clock = clocks.SYSTEM_CLOCK } = ctx
@@ -609,6 +615,22 @@
     eligibleWorkers,
   })
 
+  const { admissionPolicy } = ctx.options.scheduling ?? schedulingOptions.DEFAULT_SCHEDULING_OPTIONS
+  const admission = jobAdmission.createJobAdmission({
+    policy: jobAdmission.createAdmissionPolicy(admissionPolicy),
+    usesLoad: admissionPolicy !== 'accept-all',
+    view,
+    expected: durations,
+    nowMs,
+    timeOfDayMs: clock.timeOfDayMs,
+    percentOf: progress.percentOf,
+    eligibleWorkers,
+    sessionCount: () => byAgent.size,
+    bestEffortLoadOf: ranks.loadOf,
+    work: ctx.work,
+    counter: admissionCounter,
+  })
+
   const pacing = policies.createBestEffortPacing({
     disturbance,
     rankOf: ranks.rankOf,
@@ -676,6 +698,7 @@
     },
     handleReport,
     dispatch: rounds.dispatch,
+    admit: admission.admit,
     hasStarted: (job) => startedJobs.has(job),
     sessionCount: () => byAgent.size,
     stop: () => {
--- a/packages/workflow-control/src/workStatistics.ts
+++ b/packages/workflow-control/src/workStatistics.ts
@@ -5,11 +5,11 @@
 
 /**
  * Parts of the work: the leader's planning, handling of agents' reports and sweeps; sending orders to agents; receiving and
- * sending replication messages; applying committed commands. `rank`, `send`, `replicate` and `apply` run within other
+ * sending replication messages; applying committed commands; collecting the load for admission. `rank`, `send`, `replicate` and `apply` run within other
  * parts, so their time is included in that of those.
  */
 export type WorkPart =
-  'plan' | 'report' | 'sweep' | 'rank' | 'send' | 'receive' | 'replicate' | 'apply'
+  'plan' | 'report' | 'sweep' | 'rank' | 'admit' | 'send' | 'receive' | 'replicate' | 'apply'
 
 /**
  * How a best-effort (`filling`) task spends its time: waiting for a worker, assigned but not yet listed, paused, slowed by
@@ -49,6 +49,7 @@
     report: 0,
     sweep: 0,
     rank: 0,
+    admit: 0,
     send: 0,
     receive: 0,
     replicate: 0,
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -5,8 +5,10 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as replica from '@ebonyweir/replica'
 import * as storage from '@ebonyweir/storage'
+import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as results from 'ts-results-es'
+import * as admissionCounters from './admissionCounter.js'
 import * as calls from './calls.js'
 import * as commitStallMonitor from './commitStallMonitor.js'
 import type * as context from './context.js'
@@ -64,6 +66,7 @@
   readonly readySteps: number
   readonly attachedWorkers: number
   readonly ends: endMonitors.EndCounts
+  readonly admissions: admissionCounters.AdmissionCounts
   /** Work done since the start of the process. */
   readonly work: workStatistics.WorkTotals
 }
@@ -88,6 +91,7 @@
   const state = workflowState.createWorkflowState()
   const peers = peerTransport.createTransport()
   const nowMs = (): number => performance.now()
+  const admissionCounter = admissionCounters.createAdmissionCounter()
   const endCounter = endMonitors.createEndCounter()
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   const work = workStatistics.createWorkStatistics(nowMs)
@@ -146,7 +150,20 @@
     }
     if (leading === undefined || term !== undefined) return
     logger.info('leading', { term: leading, jobs: state.view.jobs.size })
-    term = leaderTerms.createLeaderTerm(ctx, leading, endCounter)
+    term = leaderTerms.createLeaderTerm(ctx, leading, endCounter, undefined, admissionCounter)
+  }
+
+  const limit = scheduling.createAcceptAll()
+
+  /** Decides by the present term; before it has started, only the limit on open jobs applies. */
+  const admit = (
+    ctx: context.ControlContext,
+    request: scheduling.AdmissionRequest,
+  ): scheduling.Admission => {
+    if (term !== undefined && ctx.leadingTerm() === term.term) return term.admit(request)
+    const admission = limit.decide(request, { view: ctx.view }, nowMs())
+    admissionCounter.countDecision(admission)
+    return admission
   }
 
   /** Waits until the disk has space: a replica started on a full disk would fail at its first write, on every restart. */
@@ -206,6 +223,7 @@
       calls: calls.createCallHandlers(ctx, {
         onChange,
         hasStarted: (job) => term?.hasStarted(job) ?? false,
+        admit: (request) => admit(ctx, request),
       }),
       membership: group,
       term: () => (ctx.leadingTerm() === term?.term ? term : undefined),
@@ -263,6 +281,7 @@
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
         ends: endCounter,
+        admissions: admissionCounter,
         work: work.totals(),
       }
     },
--- a/packages/workflow-scheduling/src/admissionLoad.ts
+++ b/packages/workflow-scheduling/src/admissionLoad.ts
@@ -62,6 +62,7 @@
   readonly timeOfDayMs: number
   readonly expected: durations.Durations
   readonly reserved: ReservedLoad
-  readonly bestEffort: BestEffortLoad
+  /** Undefined if no best-effort job competes, so that the supply is not known. */
+  readonly bestEffort: BestEffortLoad | undefined
   readonly queues: ReadonlyMap<string, QueueLoad>
 }
--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -34,6 +34,9 @@
   readonly capacity: number
 }
 
+/** Key of the only occurrence of a job in the best-effort ranking. */
+const occurrenceKeyOf = ({ id }: protocol.workflow.JobSpec): string => `${id}/0`
+
 interface DraftTimes {
   readonly chainMs: Readonly<Record<'low' | 'expected' | 'high', number>>
   readonly objectiveMs: number
@@ -143,6 +146,8 @@
     requiredLabel === '' ? load.reserved.capacity : load.reserved.capacityOfLabel.get(requiredLabel)
   if (capacity === undefined) return undefined
   const { cpuMillis, memoryMb } = capacity
+  // Workers may become eligible again at any time.
+  if (cpuMillis.high <= 0 || memoryMb.high <= 0) return undefined
   const { expected } = load
   const urgency = {
     priority: first.job.queue.priority,
@@ -225,16 +230,14 @@
   return atMs
 }
 
-const estimateBestEffort = (
+const draftBestEffortJob = (
   key: string,
   steps: Steps,
   times: DraftTimes,
-  load: admissionLoad.ServiceLoad,
-): CompletionEstimate => {
-  const { expected, bestEffort } = load
-  const { supply, selected } = bestEffort
+  expected: durations.Durations,
+): bestEffortRanking.BestEffortJob => {
   const totalMs = taskMsOf(steps, expected.expect)
-  const own = {
+  return {
     key,
     totalMs,
     remainingMs: totalMs,
@@ -242,6 +245,18 @@
     untilDueMs: times.objectiveMs,
     untilExpiryMs: order.EXPIRY_FACTOR * times.objectiveMs,
   }
+}
+
+const estimateBestEffort = (
+  key: string,
+  steps: Steps,
+  times: DraftTimes,
+  load: admissionLoad.ServiceLoad,
+): CompletionEstimate | undefined => {
+  const { expected, bestEffort } = load
+  if (bestEffort === undefined || bestEffort.supply.high <= 0) return undefined
+  const { supply, selected } = bestEffort
+  const own = draftBestEffortJob(key, steps, times, expected)
   const plannedSupply = supply.low * bestEffortRanking.PLANNED_SUPPLY_SHARE
   const ahead = bestEffortAhead(own, bestEffort, supply.high)
   const lowAheadMs = bestEffortAheadMs(own, ahead, selected, supply.high, 1 / WORK_ERROR_FACTOR)
@@ -253,7 +268,7 @@
   const ownMs = (supplied: number, quantile: number): number =>
     taskMsOf(steps, (step) => expected.quantileMs(step, quantile)) /
     Math.max(Number.EPSILON, supplied)
-  const ownExpectedMs = totalMs / Math.max(Number.EPSILON, meanOf(supply))
+  const ownExpectedMs = own.totalMs / Math.max(Number.EPSILON, meanOf(supply))
   return {
     lowMs: lowAheadMs + Math.max(times.chainMs.low, ownMs(supply.high, LOW_QUANTILE)),
     expectedMs: aheadMs + Math.max(times.chainMs.expected, ownExpectedMs),
@@ -269,6 +284,18 @@
   }
 }
 
+/** Best-effort job as it competes when it is submitted; undefined for a job with other work. */
+export const bestEffortJobOf = (
+  spec: protocol.workflow.JobSpec,
+  queue: protocol.workflow.Queue,
+  expected: durations.Durations,
+): bestEffortRanking.BestEffortJob | undefined => {
+  if (spec.repetitions > 0 || !spec.steps.every(({ filling }) => filling)) return undefined
+  const steps = draftJob.draftSteps(spec, queue, 0)
+  const times = draftTimesOf(steps, queue, expected)
+  return draftBestEffortJob(occurrenceKeyOf(spec), steps, times, expected)
+}
+
 /** Estimates the completion of a job; undefined for jobs that have no completion time or mix kinds of work. */
 export const estimateCompletion = (
   spec: protocol.workflow.JobSpec,
@@ -282,5 +309,5 @@
   const times = draftTimesOf(steps, queue, load.expected)
   return bestEffortCount === 0
     ? estimateReserved(steps, times, load)
-    : estimateBestEffort(`${spec.id}/0`, steps, times, load)
+    : estimateBestEffort(occurrenceKeyOf(spec), steps, times, load)
 }
