--- a/packages/experiment/src/fillers/load.ts
+++ b/packages/experiment/src/fillers/load.ts
@@ -18,8 +18,9 @@
   readonly demand: number
   /** Share of all cores that long-running tasks reserve. */
   readonly reserved: number
-  /** Factor of the arrival rate of short latency-critical and of best-effort jobs. @default 1 */
+  /** Factor of the arrival rate, and the kind of jobs to which it applies. @default 1, both kinds */
   readonly loadFactor?: number
+  readonly loadKind?: 'serving' | 'filling'
   /** Time in which jobs arrive. */
   readonly trafficMs: number
 }
@@ -232,9 +233,14 @@
   })
 }
 
+const loadFactorOf = (
+  kind: 'serving' | 'filling',
+  { loadFactor = 1, loadKind = kind }: LoadOptions,
+): number => (kind === loadKind ? loadFactor : 1)
+
 export const drawLoad = (options: LoadOptions): readonly SimulatedJob[] => [
   ...longRunningJobs(options),
-  ...drawJobs('filling', options, options.demand * (options.loadFactor ?? 1), (draw) => {
+  ...drawJobs('filling', options, options.demand * loadFactorOf('filling', options), (draw) => {
     const isWide = draw() < 0.5
     return Array.from({ length: BEST_EFFORT_STEP_COUNT }, () =>
       drawBestEffortStep(options, draw, isWide),
@@ -243,7 +249,7 @@
   ...drawJobs(
     'serving',
     options,
-    SHORT_LATENCY_CRITICAL_SHARE * (options.loadFactor ?? 1),
+    SHORT_LATENCY_CRITICAL_SHARE * loadFactorOf('serving', options),
     (draw) =>
       Array.from({ length: draw() < LATENCY_CRITICAL_SECOND_STEP_SHARE ? 2 : 1 }, () =>
         drawLatencyCriticalStep(options, draw),
--- a/packages/experiment/src/fillers/main.ts
+++ b/packages/experiment/src/fillers/main.ts
@@ -25,9 +25,14 @@
     seconds: { type: 'string', default: '50' },
     /** Factors of the arrival rate, separated by commas. */
     load: { type: 'string', default: '1' },
+    /** Kind of jobs to which the factors apply, "serving" or "filling"; both if empty. */
+    loadKind: { type: 'string', default: '' },
   },
 })
 
+const loadKinds = ['serving', 'filling'] as const
+const loadKind = loadKinds.find((kind) => kind === values.loadKind)
+
 const SHARES = ['waiting', 'starting', 'paused', 'slowed', 'shared', 'working'] as const
 
 const percent = (share: number): string => `${Math.round(100 * share)}`
@@ -116,7 +121,7 @@
   const width = Number(values.width) || (isLarge ? LARGE_WIDTH : SMALL_WIDTH)
   for (const loadFactor of values.load.split(',').map(Number)) {
     process.stdout.write(
-      `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}, load ${loadFactor}\n\n`,
+      `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}, load ${loadFactor} ${values.loadKind}\n\n`,
     )
     writeRow(HEADER.join(' | '))
     writeRow(HEADER.map(() => '---').join(' | '))
@@ -132,6 +137,7 @@
           demand: Number(values.demand),
           reserved: Number(values.reserved),
           loadFactor,
+          loadKind,
           trafficMs: Number(values.seconds) * 1_000,
           variant,
         })
