--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -261,10 +261,8 @@
   const ahead = bestEffortAhead(own, bestEffort, supply.high)
   const lowAheadMs = bestEffortAheadMs(own, ahead, selected, supply.high, 1 / WORK_ERROR_FACTOR)
   const aheadMs = bestEffortAheadMs(own, ahead, selected, meanOf(supply), 1)
-  const highAheadTaskMs = bestEffortAhead(own, bestEffort, plannedSupply).reduce(
-    (sum, { remainingMs }) => sum + remainingMs,
-    0,
-  )
+  // The order of the jobs depends on the supply, so for the upper bound all of them precede the new one.
+  const highAheadTaskMs = bestEffort.jobs.reduce((sum, { remainingMs }) => sum + remainingMs, 0)
   const ownMs = (supplied: number, quantile: number): number =>
     taskMsOf(steps, (step) => expected.quantileMs(step, quantile)) /
     Math.max(Number.EPSILON, supplied)
