--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -5,6 +5,7 @@
 import * as vitest from 'vitest'
 import type * as context from '../src/context.js'
 import * as leaderTerm from '../src/leaderTerm.js'
+import type * as schedulingOptions from '../src/schedulingOptions.js'
 import * as timing from '../src/timing.js'
 import * as workStatistics from '../src/workStatistics.js'
 import type * as workerSession from '../src/workerSession.js'
@@ -68,7 +69,7 @@
 }
 
 /** Leader's term over a state machine that commits immediately, with a clock that the test advances. */
-export const createTermHarness = () => {
+export const createTermHarness = (scheduling?: schedulingOptions.SchedulingOptions) => {
   vitest.vi.useFakeTimers()
   const state = workflowState.createWorkflowState()
   const logs: LogLine[] = []
@@ -104,6 +105,7 @@
       timing: timing.resolveTiming({ maxLeaseMs: LEASE_MS }).unwrap(),
       statusRetentionMs: 120_000,
       logger,
+      scheduling,
     },
     replica: {} as context.ControlContext['replica'],
     view: state.view,
@@ -210,6 +212,7 @@
   }
 
   return {
+    ctx,
     state,
     view: state.view,
     control,
--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -71,13 +71,6 @@
   }
 }
 
-/** Whether work that precedes the job now still does so at `atMs`, when both may be late. */
-const isStillAhead = (
-  work: { readonly lateMs: number; readonly dropMs: number },
-  ownLateMs: number,
-  atMs: number,
-): boolean => atMs <= (atMs <= ownLateMs ? work.lateMs : work.dropMs)
-
 interface ReservedJob {
   readonly steps: Steps
   readonly times: DraftTimes
@@ -94,8 +87,6 @@
   workFactor: number,
   isUpper: boolean,
 ): number => {
-  const { latestStartMs } = job.urgency
-  const ownLateMs = latestStartMs - load.timeOfDayMs
   let cpuMs = 0
   let memoryMs = 0
   let lastReleaseMs = 0
@@ -107,8 +98,8 @@
       // Work without the job's label may run elsewhere. In a gap before the next work, the job may start.
       if (work.requiredLabel !== job.requiredLabel) continue
       if (work.releaseMs > atMs) break
-      const lateMs = (urgency?.latestStartMs ?? Number.POSITIVE_INFINITY) - load.timeOfDayMs
-      if (urgency !== undefined && !isStillAhead({ ...work, lateMs }, ownLateMs, atMs)) continue
+      // The leader places work last once the value of its job has expired.
+      if (atMs > work.dropMs) continue
     }
     lastReleaseMs = work.releaseMs
     cpuMs += (workFactor * work.cpuMillisMs) / Math.max(1, cpuMillis)
@@ -212,19 +203,15 @@
   return jobs.filter((job) => rankOf(job) < ownRank).sort((a, b) => rankOf(a) - rankOf(b))
 }
 
-/** Lower bound of the time for which the supply is busy with jobs that precede `own`. */
+/** Time for which the supply is busy with jobs that are served one after the other until their value expires. */
 const bestEffortAheadMs = (
-  own: bestEffortRanking.BestEffortJob,
   ahead: readonly bestEffortRanking.BestEffortJob[],
-  selected: ReadonlySet<string>,
   supply: number,
   workFactor: number,
 ): number => {
   let atMs = 0
-  for (const { key, remainingMs, chainMs, untilDueMs, untilExpiryMs } of ahead) {
-    const dropMs = untilExpiryMs - chainMs
-    const lateMs = selected.has(key) ? dropMs : untilDueMs - chainMs
-    if (!isStillAhead({ lateMs, dropMs }, own.untilDueMs - own.chainMs, atMs)) continue
+  for (const { remainingMs, chainMs, untilExpiryMs } of ahead) {
+    if (atMs > untilExpiryMs - chainMs) continue
     atMs += (workFactor * remainingMs) / Math.max(Number.EPSILON, supply)
   }
   return atMs
@@ -255,12 +242,12 @@
 ): CompletionEstimate | undefined => {
   const { expected, bestEffort } = load
   if (bestEffort === undefined || bestEffort.supply.high <= 0) return undefined
-  const { supply, selected } = bestEffort
+  const { supply } = bestEffort
   const own = draftBestEffortJob(key, steps, times, expected)
   const plannedSupply = supply.low * bestEffortRanking.PLANNED_SUPPLY_SHARE
   const ahead = bestEffortAhead(own, bestEffort, supply.high)
-  const lowAheadMs = bestEffortAheadMs(own, ahead, selected, supply.high, 1 / WORK_ERROR_FACTOR)
-  const aheadMs = bestEffortAheadMs(own, ahead, selected, meanOf(supply), 1)
+  const lowAheadMs = bestEffortAheadMs(ahead, supply.high, 1 / WORK_ERROR_FACTOR)
+  const aheadMs = bestEffortAheadMs(ahead, meanOf(supply), 1)
   // The order of the jobs depends on the supply, so for the upper bound all of them precede the new one.
   const highAheadTaskMs = bestEffort.jobs.reduce((sum, { remainingMs }) => sum + remainingMs, 0)
   const ownMs = (supplied: number, quantile: number): number =>
