feat(workflow-scheduling): late jobs with an earlier latest start precede a new job in the estimate

A job that ends after its expiry waits in the class of late jobs first, where accepted jobs with an earlier latest start precede it.

--- a/packages/workflow-control/__tests__/admissionFailures.spec.ts
+++ b/packages/workflow-control/__tests__/admissionFailures.spec.ts
@@ -78,7 +78,7 @@
         host: 'h',
         path: '/',
         spec: specOf(id, step),
-      } as protocol.workflow.SubmitRequest),
+      }),
     /** Fills all processors for a long time. */
     fill: async (): Promise<void> => {
       for (let job = 0; job < 4; job += 1) harness.submit(`busy${job}`, [{ estimatedMs: 60_000 }])
@@ -174,8 +174,8 @@
     cell.harness.control.commits = false
     expect((await cell.submit('kept')).outcome).toBe(CallOutcome.UNKNOWN)
     expect(cell.harness.view.jobs.has('kept')).toBe(false)
-    await cell.fill()
     cell.harness.control.commits = true
+    await cell.fill()
     cell.changeLeader()
     // The next leader has no lists, so it has no grounds for a refusal.
     expect((await cell.submit('kept')).outcome).toBe(CallOutcome.OK)
--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -71,6 +71,14 @@
   }
 }
 
+/**
+ * Whether work precedes a job once the job is late. Before it ends after its expiry, it waits in that class, where all
+ * accepted jobs with an earlier latest start precede it whose value has not expired, in time or late at present.
+ */
+const precedesLate = (work: order.Urgency, own: order.Urgency): boolean =>
+  work.outlook !== 'expired' &&
+  order.compareUrgency({ ...work, outlook: 'late' }, { ...own, outlook: 'late' }) <= 0
+
 interface ReservedJob {
   readonly steps: Steps
   readonly times: DraftTimes
@@ -92,7 +100,7 @@
   let lastReleaseMs = 0
   for (const work of load.reserved.open) {
     const { urgency } = work
-    if (urgency !== undefined && order.compareUrgency(urgency, job.urgency) > 0) continue
+    if (urgency !== undefined && !precedesLate(urgency, job.urgency)) continue
     const atMs = Math.max(cpuMs, memoryMs)
     if (!isUpper) {
       // Work without the job's label may run elsewhere. In a gap before the next work, the job may start.
