--- a/packages/workflow-control/__tests__/jobAdmission.spec.ts
+++ b/packages/workflow-control/__tests__/jobAdmission.spec.ts
@@ -221,7 +221,7 @@
       name: 'three times the capacity',
       cpus: EVEN,
       arrivalsMs: steady(90, 15),
-      refuses: undefined,
+      refuses: true,
     },
     { name: 'a burst of 20 s of work', cpus: EVEN, arrivalsMs: BURST, refuses: true },
     {
@@ -235,11 +235,11 @@
     const accepting = run({ ...scenario, policy: 'accept-all' })
     const refusing = run({ ...scenario, policy: 'expected-completion' })
     expect(accepting.refusals).toBe(0)
-    if (refuses !== undefined) expect(refusing.refusals > 0).toBe(refuses)
+    expect(refusing.refusals > 0).toBe(refuses)
     expect(valueOf(refusing)).toBeGreaterThanOrEqual(MIN_VALUE_SHARE * valueOf(accepting))
     // A refusal replaces a job that would have been worthless.
     expect(refusing.worthless).toBeLessThanOrEqual(accepting.worthless)
-    if (refuses === true) expect(refusing.worthless).toBeLessThan(accepting.worthless)
+    if (refuses) expect(refusing.worthless).toBeLessThan(accepting.worthless)
   })
 
   it.each(POLICIES)(
