--- a/packages/workflow-control/src/jobAdmission.ts
+++ b/packages/workflow-control/src/jobAdmission.ts
@@ -83,6 +83,10 @@
   meanStretch: undefined,
 }
 
+const append = (open: scheduling.OpenReservedWork[], work: scheduling.OpenReservedWork): void => {
+  open.push(work)
+}
+
 const isLongRunning = ({ steps, repetitions }: protocol.workflow.JobSpec): boolean =>
   repetitions > 0 || steps.some(({ lasting }) => lasting)
 
@@ -171,11 +175,15 @@
     })
   }
 
-  const addJob = (snapshot: Snapshot, job: workflowState.JobView): void => {
+  const addJob = (
+    snapshot: Snapshot,
+    job: workflowState.JobView,
+    add: (open: scheduling.OpenReservedWork[], work: scheduling.OpenReservedWork) => void,
+  ): void => {
     const { timeOfDayMs } = snapshot
     for (const { steps } of job.occurrences.values()) {
       const work = { expected, percentOf: options.percentOf, timeOfDayMs }
-      for (const one of reservedLoad.openWorkOf(steps, work)) snapshot.open.push(one)
+      for (const one of reservedLoad.openWorkOf(steps, work)) add(snapshot.open, one)
     }
     if (!isLongRunning(job.spec)) addToQueue(snapshot, job)
   }
@@ -184,11 +192,7 @@
   const addAccepted = (snapshot: Snapshot, { spec, queue }: scheduling.AdmissionRequest): void => {
     if (isLongRunning(spec)) return
     const [first] = scheduling.draftSteps(spec, queue, snapshot.timeOfDayMs)
-    if (first !== undefined) addJob(snapshot, first.job)
-  }
-
-  const sort = ({ open }: Snapshot): void => {
-    open.sort(reservedLoad.compareOpenWork)
+    if (first !== undefined) addJob(snapshot, first.job, reservedLoad.insertOpenWork)
   }
 
   /** Whether this term has lists from most workers; refusals before would be based on a part of the capacity. */
@@ -209,12 +213,12 @@
     admitted.sweep(atMs)
     for (const { description } of workers) snapshotOf(description.service)
     for (const job of view.jobs.values()) {
-      if (job.phase === 'active') addJob(snapshotOf(job.queue.service), job)
+      if (job.phase === 'active') addJob(snapshotOf(job.queue.service), job, append)
     }
+    for (const { open } of next.values()) open.sort(reservedLoad.compareOpenWork)
     for (const request of admitted.uncommitted(atMs)) {
       addAccepted(snapshotOf(request.queue.service), request)
     }
-    for (const snapshot of next.values()) sort(snapshot)
     for (const service of trends.keys()) if (!next.has(service)) trends.delete(service)
     for (const service of supplies.keys()) if (!next.has(service)) supplies.delete(service)
     snapshots = next
@@ -283,9 +287,7 @@
     admitted.add(request, expectedEndMs, nowMs())
     const snapshot = snapshots.get(request.queue.service)
     if (snapshot === undefined) return
-    const countBefore = snapshot.open.length
     addAccepted(snapshot, request)
-    if (snapshot.open.length > countBefore) sort(snapshot)
   }
 
   return {
--- a/packages/workflow-control/src/reservedLoad.ts
+++ b/packages/workflow-control/src/reservedLoad.ts
@@ -30,8 +30,8 @@
   { expected, percentOf }: OpenWorkOptions,
 ): StepWork => {
   const taskMs = expected.expect(step)
-  // The steps of a job that is not committed yet have no tasks.
-  if (step.tasks.length === 0) {
+  // Most open jobs have no run under overload. The steps of a job that is not committed yet have no tasks.
+  if (!step.job.hasRun) {
     return { runningMs: 0, waitingMs: taskMs * step.waitingCount, slowestMs: taskMs }
   }
   let runningMs = 0
@@ -112,6 +112,22 @@
   return first === second ? 0 : first - second
 }
 
+/** Inserts work into a list in the order of `compareOpenWork`, behind equal work. */
+export const insertOpenWork = (
+  open: scheduling.OpenReservedWork[],
+  work: scheduling.OpenReservedWork,
+): void => {
+  let low = 0
+  let high = open.length
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    const at = open[middle]
+    if (at !== undefined && compareOpenWork(at, work) <= 0) low = middle + 1
+    else high = middle
+  }
+  open.splice(low, 0, work)
+}
+
 /** Sum of the resources of workers that their long-running tasks do not claim. */
 export const freeResourcesOf = (
   view: workflowState.WorkflowView,
--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -18,9 +18,15 @@
  */
 const WORK_ERROR_FACTOR = 1.25
 
+/**
+ * Limit on the parts of open work that a lower bound considers; bounds the time of a decision. Three times the capacity of
+ * the largest known workload has about 600 open until their value expires, and leaving work out only lowers the bound.
+ */
+const MAX_PARTS = 2_000
+
 /** Times in milliseconds from the submission. */
 export interface CompletionEstimate {
-  /** Lower bound, expected time and upper bound of the completion. */
+  /** Lower bound, expected time and upper bound of the completion; the upper bound is computed when it is read. */
   readonly lowMs: number
   readonly expectedMs: number
   readonly highMs: number
@@ -75,9 +81,11 @@
  * Whether work precedes a job once the job is late. Before it ends after its expiry, it waits in that class, where all
  * accepted jobs with an earlier latest start precede it whose value has not expired, in time or late at present.
  */
-const precedesLate = (work: order.Urgency, own: order.Urgency): boolean =>
-  work.outlook !== 'expired' &&
-  order.compareUrgency({ ...work, outlook: 'late' }, { ...own, outlook: 'late' }) <= 0
+const precedesLate = (work: order.Urgency, own: order.Urgency): boolean => {
+  if (work.outlook === 'expired') return false
+  if (work.priority !== own.priority) return work.priority < own.priority
+  return work.latestStartMs <= own.latestStartMs
+}
 
 interface ReservedJob {
   readonly steps: Steps
@@ -98,8 +106,11 @@
   let cpuMs = 0
   let memoryMs = 0
   let lastReleaseMs = 0
+  let parts = 0
   for (const work of load.reserved.open) {
     const { urgency } = work
+    parts += 1
+    if (!isUpper && parts > MAX_PARTS) break
     if (urgency !== undefined && !precedesLate(urgency, job.urgency)) continue
     const atMs = Math.max(cpuMs, memoryMs)
     if (!isUpper) {
@@ -172,20 +183,16 @@
     false,
   )
   const aheadMs = reservedAheadMs(job, load, meanOf(cpuMillis), meanOf(memoryMb), 1, false)
-  const highAheadMs = reservedAheadMs(
-    job,
-    load,
-    cpuMillis.low,
-    memoryMb.low,
-    WORK_ERROR_FACTOR,
-    true,
-  )
+  const highAheadMs = (): number =>
+    reservedAheadMs(job, load, cpuMillis.low, memoryMb.low, WORK_ERROR_FACTOR, true)
   const ownLowMs = ownMs(({ high }) => high, LOW_QUANTILE)
   const ownExpectedMs = ownMs(meanOf)
   return {
     lowMs: lowAheadMs + Math.max(times.chainMs.low, ownLowMs),
     expectedMs: aheadMs + Math.max(times.chainMs.expected, ownExpectedMs),
-    highMs: highAheadMs + times.chainMs.high + ownMs(({ low }) => low, HIGH_QUANTILE),
+    get highMs() {
+      return highAheadMs() + times.chainMs.high + ownMs(({ low }) => low, HIGH_QUANTILE)
+    },
     aheadMs,
     ownMs: ownExpectedMs,
     objectiveMs: times.objectiveMs,
--- a/packages/workflow-scheduling/src/expectedCompletion.ts
+++ b/packages/workflow-scheduling/src/expectedCompletion.ts
@@ -2,16 +2,17 @@
 import * as admission from './admission.js'
 import type * as admissionLoad from './admissionLoad.js'
 import * as completionEstimate from './completionEstimate.js'
+import * as refusedJobs from './refusedJobs.js'
 import * as retrySchedule from './retrySchedule.js'
 
 /** Oldest load on which a refusal may be based, in milliseconds; a worker's list is evaluated up to an age of 1.6 s. */
 export const MAX_LOAD_AGE_MS = 2_000
 
-/** Whether the job ends after its value has expired, even by the lower bound. */
-export const isCertainlyTooLate = ({
-  lowMs,
-  expiryMs,
-}: completionEstimate.CompletionEstimate): boolean => lowMs > expiryMs
+/** Whether a job that was first submitted `elapsedMs` ago ends after its value has expired, even by the lower bound. */
+const isCertainlyTooLate = (
+  { lowMs, expiryMs }: completionEstimate.CompletionEstimate,
+  elapsedMs: number,
+): boolean => elapsedMs + lowMs > expiryMs
 
 /** Load of the state unless it is too old for a refusal. */
 export const currentLoad = (
@@ -29,6 +30,7 @@
 export const createExpectedCompletion = (): admission.AdmissionPolicy => {
   const limit = admission.createAcceptAll()
   const schedule = retrySchedule.createRetrySchedule()
+  const refused = refusedJobs.createRefusedJobs()
   return {
     decide: (request, state, nowMs) => {
       const limited = limit.decide(request, state, nowMs)
@@ -38,7 +40,11 @@
       const estimate = completionEstimate.estimateCompletion(spec, queue, load)
       if (estimate === undefined) return limited
       const { lowMs, expectedMs, expiryMs, objectiveMs, aheadMs, ownMs, capacity } = estimate
-      if (!isCertainlyTooLate(estimate)) return { kind: 'accepted', expectedEndMs: expectedMs }
+      if (!isCertainlyTooLate(estimate, refused.elapsedMs(spec.id, nowMs))) {
+        refused.recordAcceptance(spec.id)
+        return { kind: 'accepted', expectedEndMs: expectedMs }
+      }
+      refused.recordRefusal(spec.id, nowMs)
       return {
         kind: 'refused',
         reason: 'no-capacity-in-time',
