--- a/packages/workflow-scheduling/src/completionEstimate.ts
+++ b/packages/workflow-scheduling/src/completionEstimate.ts
@@ -104,11 +104,17 @@
   let memoryMs = 0
   let lastReleaseMs = 0
   let parts = 0
+  let skippedReleaseMs = Number.NaN
   for (const work of load.reserved.open) {
+    // Work with the same release time is in the order of placement.
+    if (work.releaseMs === skippedReleaseMs) continue
     const { urgency } = work
     parts += 1
     if (!isUpper && parts > MAX_PARTS) break
-    if (urgency !== undefined && !precedes(urgency, job.urgency)) continue
+    if (urgency !== undefined && !precedes(urgency, job.urgency)) {
+      skippedReleaseMs = work.releaseMs
+      continue
+    }
     const atMs = Math.max(cpuMs, memoryMs)
     if (!isUpper) {
       // Work without the job's label may run elsewhere. In a gap before the next work, the job may start.
