--- a/packages/experiment/src/fillers/load.ts
+++ b/packages/experiment/src/fillers/load.ts
@@ -18,6 +18,9 @@
   readonly demand: number
   /** Share of all cores that long-running tasks reserve. */
   readonly reserved: number
+  /** Factor of the arrival rate, and the kind of jobs to which it applies. @default 1, both kinds */
+  readonly loadFactor?: number
+  readonly loadKind?: 'serving' | 'filling'
   /** Time in which jobs arrive. */
   readonly trafficMs: number
   /** Share of the tasks that take `TAIL_FACTOR` times as long on any worker. @default 0 */
@@ -237,6 +240,11 @@
   })
 }
 
+const loadFactorOf = (
+  kind: 'serving' | 'filling',
+  { loadFactor = 1, loadKind = kind }: LoadOptions,
+): number => (kind === loadKind ? loadFactor : 1)
+
 /** Makes some tasks long, and estimates wrong, with random numbers of their own: the rest of the day stays the same. */
 const withTail = (options: LoadOptions): ((job: SimulatedJob) => SimulatedJob) => {
   const { seed, tailShare = 0, estimateSpread = 0 } = options
@@ -262,16 +270,20 @@
 
 const drawNormalLoad = (options: LoadOptions): readonly SimulatedJob[] => [
   ...longRunningJobs(options),
-  ...drawJobs('filling', options, options.demand, (draw) => {
+  ...drawJobs('filling', options, options.demand * loadFactorOf('filling', options), (draw) => {
     const isWide = draw() < 0.5
     return Array.from({ length: BEST_EFFORT_STEP_COUNT }, () =>
       drawBestEffortStep(options, draw, isWide),
     )
   }),
-  ...drawJobs('serving', options, SHORT_LATENCY_CRITICAL_SHARE, (draw) =>
-    Array.from({ length: draw() < LATENCY_CRITICAL_SECOND_STEP_SHARE ? 2 : 1 }, () =>
-      drawLatencyCriticalStep(options, draw),
-    ),
+  ...drawJobs(
+    'serving',
+    options,
+    SHORT_LATENCY_CRITICAL_SHARE * loadFactorOf('serving', options),
+    (draw) =>
+      Array.from({ length: draw() < LATENCY_CRITICAL_SECOND_STEP_SHARE ? 2 : 1 }, () =>
+        drawLatencyCriticalStep(options, draw),
+      ),
   ),
 ]
 
--- a/packages/experiment/src/fillers/main.ts
+++ b/packages/experiment/src/fillers/main.ts
@@ -35,9 +35,16 @@
     drains: { type: 'string', default: '0' },
     /** Workers at a fifth of the speed. */
     slow: { type: 'string', default: '0' },
+    /** Factors of the arrival rate, separated by commas. */
+    load: { type: 'string', default: '1' },
+    /** Kind of jobs to which the factors apply, "serving" or "filling"; both if empty. */
+    loadKind: { type: 'string', default: '' },
   },
 })
 
+const loadKinds = ['serving', 'filling'] as const
+const loadKind = loadKinds.find((kind) => kind === values.loadKind)
+
 const SHARES = ['waiting', 'starting', 'paused', 'slowed', 'shared', 'working'] as const
 
 const percent = (share: number): string => `${Math.round(100 * share)}`
@@ -60,6 +67,13 @@
     ),
     `${round(day.wronglyQuarantined)}/${round(day.rightlyQuarantined)}`,
     round(day.discardedCoreSeconds),
+    day.bestEffortGoodput.toFixed(3),
+    day.shortGoodput.toFixed(2),
+    day.shortValue.toFixed(3),
+    [day.inTime, day.late, day.worthless, day.refused].map((count) => count.toFixed(0)).join('/'),
+    day.refusals.toFixed(0),
+    Math.round(day.badNewsMs),
+    day.completionRatio.toFixed(2),
   ].join(' | ')
 
 const mean = (numbers: readonly number[]): number =>
@@ -93,6 +107,16 @@
     wronglyQuarantined: meanOf((day) => day.wronglyQuarantined),
     rightlyQuarantined: meanOf((day) => day.rightlyQuarantined),
     discardedCoreSeconds: meanOf((day) => day.discardedCoreSeconds),
+    bestEffortGoodput: meanOf((day) => day.bestEffortGoodput),
+    shortGoodput: meanOf((day) => day.shortGoodput),
+    shortValue: meanOf((day) => day.shortValue),
+    inTime: meanOf((day) => day.inTime),
+    late: meanOf((day) => day.late),
+    worthless: meanOf((day) => day.worthless),
+    refused: meanOf((day) => day.refused),
+    refusals: meanOf((day) => day.refusals),
+    badNewsMs: meanOf((day) => day.badNewsMs),
+    completionRatio: meanOf((day) => day.completionRatio),
   }
 }
 
@@ -110,6 +134,13 @@
   'filling in time/late/open',
   'quarantined wrongly/rightly',
   'core-seconds discarded',
+  'filling goodput/s',
+  'serving goodput/s',
+  'serving worth',
+  'in time/late/worthless/refused',
+  'refusals',
+  'bad news ms',
+  'actual/expected end',
 ]
 
 const writeRow = (line: string): void => {
@@ -129,34 +160,38 @@
 for (const workers of values.workers.split(',').map(Number)) {
   const isLarge = workers >= LARGE_DEPLOYMENT_WORKERS
   const width = Number(values.width) || (isLarge ? LARGE_WIDTH : SMALL_WIDTH)
-  process.stdout.write(
-    `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}\n\n`,
-  )
-  writeRow(HEADER.join(' | '))
-  writeRow(HEADER.map(() => '---').join(' | '))
-  for (const [variant, durationModel] of comparisons) {
-    const days: simulation.DayResult[] = []
-    for (let seed = 1; seed <= Number(values.seeds); seed += 1) {
-      const day = await simulation.simulateDay({
-        seed,
-        workers,
-        cores: values.cores === '32' ? 32 : 16,
-        width,
-        widthSpread: isLarge ? LARGE_SPREAD : SMALL_SPREAD,
-        demand: Number(values.demand),
-        reserved: Number(values.reserved),
-        trafficMs: Number(values.seconds) * 1_000,
-        variant,
-        durationModel,
-        coolDownMs: Number(values.cooldown) * 1_000,
-        tailShare: Number(values.tail),
-        estimateSpread: Number(values.spread),
-        drainIntervalMs: Number(values.drains) * 1_000,
-        slowWorkers: Number(values.slow),
-      })
-      days.push(day)
-      writeRow(rowOf(nameOf(variant, durationModel), String(seed), day))
+  for (const loadFactor of values.load.split(',').map(Number)) {
+    process.stdout.write(
+      `\n### ${workers} workers, width ${width}, demand ${values.demand}, reserved ${values.reserved}, load ${loadFactor} ${values.loadKind}\n\n`,
+    )
+    writeRow(HEADER.join(' | '))
+    writeRow(HEADER.map(() => '---').join(' | '))
+    for (const [variant, durationModel] of comparisons) {
+      const days: simulation.DayResult[] = []
+      for (let seed = 1; seed <= Number(values.seeds); seed += 1) {
+        const day = await simulation.simulateDay({
+          seed,
+          workers,
+          cores: values.cores === '32' ? 32 : 16,
+          width,
+          widthSpread: isLarge ? LARGE_SPREAD : SMALL_SPREAD,
+          demand: Number(values.demand),
+          reserved: Number(values.reserved),
+          loadFactor,
+          loadKind,
+          trafficMs: Number(values.seconds) * 1_000,
+          variant,
+          durationModel,
+          coolDownMs: Number(values.cooldown) * 1_000,
+          tailShare: Number(values.tail),
+          estimateSpread: Number(values.spread),
+          drainIntervalMs: Number(values.drains) * 1_000,
+          slowWorkers: Number(values.slow),
+        })
+        days.push(day)
+        writeRow(rowOf(nameOf(variant, durationModel), String(seed), day))
+      }
+      writeRow(rowOf(nameOf(variant, durationModel), 'mean', meanDay(days)))
     }
-    writeRow(rowOf(nameOf(variant, durationModel), 'mean', meanDay(days)))
   }
 }
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -221,6 +221,7 @@
   }
 
   return {
+    ctx,
     state,
     view: state.view,
     control,
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -5,6 +5,7 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as admissionCounters from './admissionCounter.js'
 import * as assignmentRounds from './assignmentRounds.js'
 import * as clocks from './clock.js'
 import type * as context from './context.js'
@@ -12,6 +13,7 @@
 import * as durationLogs from './durationLog.js'
 import * as endProcessors from './endProcessor.js'
 import * as endMonitors from './endMonitor.js'
+import * as jobAdmission from './jobAdmission.js'
 import * as pendingEndCommits from './pendingEndCommits.js'
 import * as bestEffortAccounting from './bestEffortAccounting.js'
 import * as localityDecisions from './localityDecisions.js'
@@ -22,6 +24,7 @@
 import * as runStops from './runStops.js'
 import * as termPolicies from './termPolicies.js'
 import * as waitMonitors from './waitMonitor.js'
+import * as schedulingOptions from './schedulingOptions.js'
 import * as sessions from './workerSession.js'
 
 const { EndKind, RejectionReason } = protocol.workflow
@@ -81,6 +84,8 @@
   ) => void
   /** Schedules a round of assignments. */
   readonly dispatch: () => void
+  /** Decides on the submission of a job that is not open; only a leader with a valid lease may ask. */
+  readonly admit: jobAdmission.JobAdmission['admit']
   readonly hasStarted: (job: string) => boolean
   /** Lines that say where the waiting tasks of a job would be placed now, and why. */
   readonly explain: (job: workflowState.JobView) => readonly string[]
@@ -108,6 +113,7 @@
   term: number,
   endCounter = endMonitors.createEndCounter(),
   policies: termPolicies.TermPolicies = termPolicies.DEFAULT_TERM_POLICIES,
+  admissionCounter = admissionCounters.createAdmissionCounter(),
 ): LeaderTerm => {
   const { logger, timing } = ctx.options
   const { view, nowMs, clock = clocks.SYSTEM_CLOCK } = ctx
@@ -668,6 +674,22 @@
     eligibleWorkers,
   })
 
+  const { admissionPolicy } = ctx.options.scheduling ?? schedulingOptions.DEFAULT_SCHEDULING_OPTIONS
+  const admission = jobAdmission.createJobAdmission({
+    policy: jobAdmission.createAdmissionPolicy(admissionPolicy),
+    usesLoad: admissionPolicy !== 'accept-all',
+    view,
+    expected: durations,
+    nowMs,
+    timeOfDayMs: clock.timeOfDayMs,
+    percentOf: progress.percentOf,
+    eligibleWorkers,
+    sessionCount: () => byAgent.size,
+    bestEffortLoadOf: ranks.loadOf,
+    work: ctx.work,
+    counter: admissionCounter,
+  })
+
   const pacing = policies.createBestEffortPacing({
     disturbance,
     rankOf: ranks.rankOf,
@@ -736,6 +758,7 @@
     },
     handleReport,
     dispatch: rounds.dispatch,
+    admit: admission.admit,
     hasStarted: (job) => startedJobs.has(job),
     explain: (job) => {
       const input = rounds.currentInput()
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -5,9 +5,10 @@
 import * as protocol from '@ebonyweir/protocol'
 import * as replica from '@ebonyweir/replica'
 import * as storage from '@ebonyweir/storage'
-import type * as scheduling from '@ebonyweir/workflow-scheduling'
+import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
 import * as results from 'ts-results-es'
+import * as admissionCounters from './admissionCounter.js'
 import * as calls from './calls.js'
 import * as commitStallMonitor from './commitStallMonitor.js'
 import type * as context from './context.js'
@@ -67,6 +68,7 @@
   /** What the leader's model of task durations has learned; zero on other replicas. */
   readonly learnedDurations: scheduling.LearnedCounts
   readonly ends: endMonitors.EndCounts
+  readonly admissions: admissionCounters.AdmissionCounts
   /** Work done since the start of the process. */
   readonly work: workStatistics.WorkTotals
 }
@@ -92,6 +94,7 @@
   const peers = peerTransport.createTransport()
   const nowMs = (): number => performance.now()
   const createdMs = nowMs()
+  const admissionCounter = admissionCounters.createAdmissionCounter()
   const endCounter = endMonitors.createEndCounter()
   const guard = suspension.createSuspensionGuard({ voidMs: timing.leaderLeaseMs })
   const work = workStatistics.createWorkStatistics(nowMs)
@@ -154,7 +157,20 @@
       jobs: state.view.jobs.size,
       sinceStartMs: Math.round(nowMs() - createdMs),
     })
-    term = leaderTerms.createLeaderTerm(ctx, leading, endCounter)
+    term = leaderTerms.createLeaderTerm(ctx, leading, endCounter, undefined, admissionCounter)
+  }
+
+  const limit = scheduling.createAcceptAll()
+
+  /** Decides by the present term; before it has started, only the limit on open jobs applies. */
+  const admit = (
+    ctx: context.ControlContext,
+    request: scheduling.AdmissionRequest,
+  ): scheduling.Admission => {
+    if (term !== undefined && ctx.leadingTerm() === term.term) return term.admit(request)
+    const admission = limit.decide(request, { view: ctx.view }, nowMs())
+    admissionCounter.countDecision(admission)
+    return admission
   }
 
   /** Waits until the disk has space: a replica started on a full disk would fail at its first write, on every restart. */
@@ -222,6 +238,7 @@
         onChange,
         hasStarted: (job) => term?.hasStarted(job) ?? false,
         explain: (job) => term?.explain(job),
+        admit: (request) => admit(ctx, request),
       }),
       membership: group,
       term: () => (ctx.leadingTerm() === term?.term ? term : undefined),
@@ -280,6 +297,7 @@
         attachedWorkers: term?.sessionCount() ?? 0,
         learnedDurations: term?.learnedDurations() ?? { images: 0, observations: 0 },
         ends: endCounter,
+        admissions: admissionCounter,
         work: work.totals(),
       }
     },
