--- a/packages/bench/src/leader/simulation.ts
+++ b/packages/bench/src/leader/simulation.ts
@@ -113,7 +113,7 @@
     const id = `job-${jobs}-0123456789abcdef`
     const step = protocol.workflow.Step.create({ estimatedMs: BEST_EFFORT_ESTIMATE_MS, ...fields })
     const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps: [step] }
-    apply({ $case: 'submit', value: { spec, queue: QUEUE } })
+    apply({ $case: 'submit', value: { spec, queue: QUEUE, callerDomain: '' } })
     return id
   }
 
--- a/packages/experiment/src/fillers/simulation.ts
+++ b/packages/experiment/src/fillers/simulation.ts
@@ -178,7 +178,7 @@
   for (const job of jobs) {
     clock.at(job.atMs, () => {
       clock.after(COMMIT_DELAY_MS, () => {
-        apply({ $case: 'submit', value: { spec: job.spec, queue: job.queue } })
+        apply({ $case: 'submit', value: { spec: job.spec, queue: job.queue, callerDomain: '' } })
         term.dispatch()
       })
     })
--- a/packages/model-check/src/runModelState.ts
+++ b/packages/model-check/src/runModelState.ts
@@ -189,5 +189,5 @@
     steps: [step([]), step([0])].slice(0, stepCount),
   }
   const queue = protocol.workflow.Queue.fromPartial({ service: SERVICE, maxAttempts: 3 })
-  return { $case: 'submit', value: { spec, queue } }
+  return { $case: 'submit', value: { spec, queue, callerDomain: '' } }
 }
--- a/packages/workflow-client/__tests__/leaderClient.spec.ts
+++ b/packages/workflow-client/__tests__/leaderClient.spec.ts
@@ -16,7 +16,12 @@
 
 const QUERY: protocol.workflow.JobQuery = { host: 'h', path: '/', job: 'j' }
 
-const SUBMISSION: protocol.workflow.SubmitRequest = { host: 'h', path: '/', spec: undefined }
+const SUBMISSION: protocol.workflow.SubmitRequest = {
+  host: 'h',
+  path: '/',
+  spec: undefined,
+  callerDomain: '',
+}
 
 const started: { readonly stop: () => void }[] = []
 
--- a/packages/workflow-control/__tests__/assignmentRounds.spec.ts
+++ b/packages/workflow-control/__tests__/assignmentRounds.spec.ts
@@ -66,7 +66,7 @@
     const step = protocol.workflow.Step.create({ taskCount: 1, filling, claim })
     const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps: [step] }
     const queue = protocol.workflow.Queue.fromPartial({ service: 'desk', maxAttempts: 3 })
-    state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue } } })
+    state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue, callerDomain: '' } } })
     rounds.dispatch()
   }
   submit('filler', 1_000, true)
--- a/packages/workflow-control/__tests__/bestEffortAccounting.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortAccounting.spec.ts
@@ -40,7 +40,7 @@
   const steps = [protocol.workflow.Step.fromPartial({ taskCount: 1, claim, filling: true })]
   const spec = { ...protocol.workflow.JobSpec.fromPartial({ id: 'j' }), steps }
   const queue = protocol.workflow.Queue.fromPartial({ name: 'q', service: 'desk', maxAttempts: 3 })
-  state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue } } })
+  state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue, callerDomain: '' } } })
   const assign = (): void => {
     const assignments = [{ task: { ...RUN, run: 0 }, worker: WORKER.identity }]
     state.apply({
--- a/packages/workflow-control/__tests__/bestEffortPacing.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortPacing.spec.ts
@@ -27,7 +27,10 @@
       }),
     ]
     const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps }
-    state.apply({ nowMs: 0, body: { $case: 'submit', value: { spec, queue: QUEUE } } })
+    state.apply({
+      nowMs: 0,
+      body: { $case: 'submit', value: { spec, queue: QUEUE, callerDomain: '' } },
+    })
     const task = { job: id, occurrence: 0, step: 0, index: 0, run: 0 }
     const assignments = [{ task, worker: identity }]
     state.apply({
--- a/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
@@ -63,7 +63,7 @@
       }),
     ]
     const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps }
-    const body = { $case: 'submit' as const, value: { spec, queue: QUEUE } }
+    const body = { $case: 'submit' as const, value: { spec, queue: QUEUE, callerDomain: '' } }
     state.apply({ nowMs: submittedMs - ageMs, body })
     const step = state.view.jobs.get(id)?.occurrences.get(0)?.steps[0]
     if (step === undefined) throw new Error(`no step of ${id}`)
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -236,7 +236,10 @@
         maxAttempts,
         slackFactor: 2,
       })
-      state.apply({ nowMs: Date.now(), body: { $case: 'submit', value: { spec, queue } } })
+      state.apply({
+        nowMs: Date.now(),
+        body: { $case: 'submit', value: { spec, queue, callerDomain: '' } },
+      })
       term.dispatch()
     },
     apply: (body: context.CommandBody) => state.apply({ nowMs: Date.now(), body }),
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -75,7 +75,7 @@
     return reply(CallOutcome.OK)
   }
 
-  const submit: CallHandlers['submit'] = async ({ host, path, spec }) => {
+  const submit: CallHandlers['submit'] = async ({ host, path, spec, callerDomain }) => {
     if (ctx.leadingTerm() === undefined) return notLeading()
     if (ctx.view.configuration === undefined) return reply(CallOutcome.UNCONFIGURED)
     if (spec === undefined) return reply(CallOutcome.INVALID, { detail: 'the job is missing' })
@@ -85,14 +85,14 @@
     if (queue === undefined) return reply(CallOutcome.NO_QUEUE)
     const checked = workflowState.checkJobSpec(spec)
     if (checked.isErr()) return reply(CallOutcome.INVALID, { detail: checked.error })
-    const request = { spec, queue, callerDomain: '' }
+    const request = { spec, queue, callerDomain }
     const admission = admissionPolicy.decide(request, { view: ctx.view }, ctx.nowMs())
     if (admission.kind === 'refused') {
       const { reason, retryAfterMs, detail } = admission
       logger.info('job refused', { job: spec.id, queue: queue.name, reason, detail })
       return reply(CallOutcome.OVERLOADED, { retryAfterMs, detail })
     }
-    const answer = await commit({ $case: 'submit', value: { spec, queue } })
+    const answer = await commit({ $case: 'submit', value: { spec, queue, callerDomain } })
     const { version } = ctx.view.configuration
     logger.info('job submitted', {
       job: spec.id,
--- a/packages/workflow-scheduling/__tests__/support.ts
+++ b/packages/workflow-scheduling/__tests__/support.ts
@@ -45,9 +45,10 @@
     steps: readonly protocol.workflow.Step[],
     inQueue = queue(),
     nowMs = 0,
+    callerDomain = '',
   ): void => {
     const spec = protocol.workflow.JobSpec.fromPartial({ id, steps })
-    state.apply({ nowMs, body: { $case: 'submit', value: { spec, queue: inQueue } } })
+    state.apply({ nowMs, body: { $case: 'submit', value: { spec, queue: inQueue, callerDomain } } })
   }
   const input = (nowMs = 0): scheduling.PlacementInput => ({
     view: state.view,
--- a/packages/workflow-state/__tests__/snapshot.spec.ts
+++ b/packages/workflow-state/__tests__/snapshot.spec.ts
@@ -64,6 +64,12 @@
 }
 
 /** State that is visible to later commands and to readers. */
+/** Submission of a job and the snapshot after it, as written by commit b51c689. */
+const OLD_COMMAND =
+  '080522320a150a016a1204746578741a0a0801120308e80718e80712190a0671756f7465733a046465736b4003490000000000000040'
+const OLD_SNAPSHOT =
+  '08012a3c0a150a016a1204746578741a0a0801120308e80718e80712190a0671756f7465733a046465736b40034900000000000000402005320412020a003801'
+
 const describeState = ({ view }: workflowState.WorkflowState): unknown => ({
   evacuated: [...view.evacuated].sort(),
   revisions: [...view.evacuationRevisions],
@@ -132,6 +138,31 @@
     )
   })
 
+  it.each([
+    { name: 'guards against losing the failure domain of the caller', domain: 'rennes' },
+    { name: 'guards against a default other than unknown for commands without one', domain: '' },
+  ])('$name', ({ domain }) => {
+    const original = support.createSubject()
+    original.submit(support.job('j', [support.step()]), support.queue(), domain)
+    const copy = support.createSubject()
+    copy.state.restore(original.state.snapshot())
+    expect(copy.view.jobs.get('j')?.callerDomain).toBe(domain)
+  })
+
+  it('guards against not reading a command from before the field `caller_domain`', () => {
+    const subject = support.createSubject()
+    subject.state.apply(protocol.workflow.WorkflowCommand.decode(Buffer.from(OLD_COMMAND, 'hex')))
+    expect(subject.view.jobs.get('j')?.callerDomain).toBe('')
+    expect(subject.view.jobs.get('j')?.queue.name).toBe('quotes')
+  })
+
+  it('guards against not reading a snapshot from before the field `caller_domain`', () => {
+    const subject = support.createSubject()
+    subject.state.restore(Buffer.from(OLD_SNAPSHOT, 'hex'))
+    expect(subject.view.jobs.get('j')?.callerDomain).toBe('')
+    expect(subject.view.readySteps.size).toBe(1)
+  })
+
   it('guards against restoring a snapshot of a newer format', () => {
     const subject = support.createSubject()
     const bytes = protocol.workflow.WorkflowSnapshot.encode(
--- a/packages/workflow-state/__tests__/support.ts
+++ b/packages/workflow-state/__tests__/support.ts
@@ -75,8 +75,8 @@
     state,
     view: state.view,
     apply,
-    submit: (spec: protocol.workflow.JobSpec, inQueue = queue()) =>
-      apply({ $case: 'submit', value: { spec, queue: inQueue } }),
+    submit: (spec: protocol.workflow.JobSpec, inQueue = queue(), callerDomain = '') =>
+      apply({ $case: 'submit', value: { spec, queue: inQueue, callerDomain } }),
     /** Assigns tasks, given as "job.occurrence.step.index", to a worker; returns the accepted runs. */
     assign: (
       to: protocol.workflow.WorkerDescription,
--- a/packages/workflow-state/src/records.ts
+++ b/packages/workflow-state/src/records.ts
@@ -28,9 +28,11 @@
   spec: protocol.workflow.JobSpec,
   queue: protocol.workflow.Queue,
   submittedMs: number,
+  callerDomain: string,
 ): JobRecord => ({
   spec,
   queue,
+  callerDomain,
   phase: 'active',
   submittedMs,
   endedMs: 0,
--- a/packages/workflow-state/src/snapshot.ts
+++ b/packages/workflow-state/src/snapshot.ts
@@ -50,6 +50,7 @@
     })),
     opened: job.openedCount,
     completedOccurrences: job.completedOccurrences,
+    callerDomain: job.callerDomain,
   })
   return protocol.workflow.WorkflowSnapshot.encode({
     formatVersion: SNAPSHOT_FORMAT_VERSION,
@@ -106,7 +107,12 @@
   workers: readonly protocol.workflow.WorkerIdentity[],
 ): void => {
   if (encoded.spec === undefined || encoded.queue === undefined) return
-  const job = records.createJob(encoded.spec, encoded.queue, encoded.submittedMs)
+  const job = records.createJob(
+    encoded.spec,
+    encoded.queue,
+    encoded.submittedMs,
+    encoded.callerDomain,
+  )
   job.phase = jobPhasesByEncoding.get(encoded.phase) ?? 'active'
   job.endedMs = encoded.endedMs
   context.jobs.set(job.spec.id, job)
--- a/packages/workflow-state/src/types.ts
+++ b/packages/workflow-state/src/types.ts
@@ -45,6 +45,8 @@
   readonly spec: protocol.workflow.JobSpec
   /** Queue as it was configured when the job was accepted. */
   readonly queue: protocol.workflow.Queue
+  /** Failure domain of the entry that the caller reached; empty if unknown. */
+  readonly callerDomain: string
   readonly phase: JobPhase
   /** Wall-clock time at the leader. */
   readonly submittedMs: number
--- a/packages/workflow-state/src/workflowState.ts
+++ b/packages/workflow-state/src/workflowState.ts
@@ -68,12 +68,12 @@
 
 const submit = (
   context: StateContext,
-  { spec, queue }: protocol.workflow.SubmitJob,
+  { spec, queue, callerDomain }: protocol.workflow.SubmitJob,
   nowMs: number,
 ): types.Outcome => {
   if (spec === undefined || queue === undefined) throw new Error('a submit command is incomplete')
   if (context.jobs.has(spec.id)) return { kind: 'submitted', repeated: true }
-  const job = records.createJob(spec, queue, nowMs)
+  const job = records.createJob(spec, queue, nowMs, callerDomain)
   context.jobs.set(spec.id, job)
   if (spec.repetitions === 0) openNextOccurrence(context, job)
   return { kind: 'submitted', repeated: false }
