--- a/packages/workflow-scheduling/src/admission.ts
+++ b/packages/workflow-scheduling/src/admission.ts
@@ -21,7 +21,7 @@
   readonly view: workflowState.WorkflowView
 }
 
-export type AdmissionReason = 'too-many-open-jobs'
+export type AdmissionReason = 'too-many-open-jobs' | 'share-exceeded'
 
 export type Admission =
   | { readonly kind: 'accepted' }
--- a/packages/workflow-scheduling/src/bestEffortRanking.ts
+++ b/packages/workflow-scheduling/src/bestEffortRanking.ts
@@ -3,6 +3,8 @@
  * make all jobs late, so the jobs that can meet their objectives together come first, one after the other.
  */
 
+import type * as fairShares from './fairShares.js'
+
 /** Remaining best-effort work of one occurrence of a job. */
 export interface BestEffortJob {
   /** Key of the occurrence. */
@@ -17,6 +19,8 @@
   readonly untilDueMs: number
   /** Time left until its value has expired. */
   readonly untilExpiryMs: number
+  /** Standing of its key in the fair shares. @default within its share */
+  readonly share?: fairShares.ShareStanding
 }
 
 /** Part of a job's value that does not depend on its size, in jobs of the mean size. */
@@ -102,7 +106,24 @@
   return isExpired(job) ? 0 : LATE_VALUE_SHARE
 }
 
-/** Jobs that still earn something, by expected value per remaining work, with a preference for those already selected. */
+const SHARE_ORDER: Readonly<Record<fairShares.ShareClass, number>> = {
+  starving: 0,
+  within: 1,
+  above: 2,
+}
+
+/** A selected job above its share keeps its place: the supply that it has used would be wasted. */
+const shareOrderOf = ({ share }: BestEffortJob, isSelected: boolean): number => {
+  if (share === undefined) return SHARE_ORDER.within
+  return isSelected && share.shareClass === 'above'
+    ? SHARE_ORDER.within
+    : SHARE_ORDER[share.shareClass]
+}
+
+/**
+ * Jobs that still earn something, by their standing in the fair shares, then by expected value per remaining work, with a
+ * preference for those already selected.
+ */
 const byEarnings = (
   jobs: readonly BestEffortJob[],
   alreadySelected: ReadonlySet<string>,
@@ -115,7 +136,10 @@
     if (factor > 0) densities.set(job, (factor * valueOf(job)) / Math.max(1, job.remainingMs))
   }
   return [...densities.keys()].sort(
-    (a, b) => (densities.get(b) ?? 0) - (densities.get(a) ?? 0) || byDue(a, b),
+    (a, b) =>
+      shareOrderOf(a, alreadySelected.has(a.key)) - shareOrderOf(b, alreadySelected.has(b.key)) ||
+      (densities.get(b) ?? 0) - (densities.get(a) ?? 0) ||
+      byDue(a, b),
   )
 }
 
--- a/packages/workflow-scheduling/src/order.ts
+++ b/packages/workflow-scheduling/src/order.ts
@@ -1,6 +1,7 @@
 /** Order in which ready steps are placed. */
 import type * as workflowState from '@ebonyweir/workflow-state'
 import type * as durations from './durations.js'
+import type * as fairShares from './fairShares.js'
 
 /** The value of a job expires after this multiple of its objective. */
 export const EXPIRY_FACTOR = 3
@@ -32,6 +33,8 @@
   readonly outlook: Outlook
   /** Latest wall-clock time at which the step can start for its job to meet its objective. */
   readonly latestStartMs: number
+  /** Standing of its key in the fair shares. @default within its share */
+  readonly share?: fairShares.ShareStanding
 }
 
 /** Time from a job's submission, or an occurrence's due time, within which it should complete. */
@@ -67,9 +70,22 @@
   return { priority: job.queue.priority, outlook: outlook(), latestStartMs }
 }
 
-/** Sort comparator: the step that is placed first comes first. */
+const isStarving = ({ share }: Urgency): boolean => share?.shareClass === 'starving'
+
+const isAbove = ({ share }: Urgency): boolean => share?.shareClass === 'above'
+
+/**
+ * Sort comparator: the step that is placed first comes first. Starving keys precede all others, the one that has starved
+ * for longest first. Otherwise shares decide only between jobs of one outlook and priority: among jobs that are late
+ * anyway, fairness gains nothing.
+ */
 export const compareUrgency = (a: Urgency, b: Urgency): number => {
+  if (isStarving(a) !== isStarving(b)) return isStarving(a) ? -1 : 1
+  if (isStarving(a) && a.share?.sinceMs !== b.share?.sinceMs) {
+    return (a.share?.sinceMs ?? 0) - (b.share?.sinceMs ?? 0)
+  }
   if (a.outlook !== b.outlook) return OUTLOOK_ORDER[a.outlook] - OUTLOOK_ORDER[b.outlook]
   if (a.priority !== b.priority) return a.priority - b.priority
+  if (isAbove(a) !== isAbove(b)) return isAbove(a) ? 1 : -1
   return a.latestStartMs - b.latestStartMs
 }
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -4,6 +4,8 @@
 import * as candidates from './candidates.js'
 import type * as durations from './durations.js'
 import * as order from './order.js'
+import type * as fairShares from './fairShares.js'
+import type * as shareOrder from './shareOrder.js'
 import * as placementFailures from './placementFailures.js'
 import * as workerCost from './workerCost.js'
 import * as workerQueue from './workerQueue.js'
@@ -23,6 +25,11 @@
   readonly avoids: (task: workflowState.TaskIdentity, workerId: string) => boolean
   /** Time for which a step has been ready. */
   readonly waitedMs: (step: workflowState.StepView) => number
+  /** Standings of steps that reserve CPU, given in the order without shares. @default no fair shares */
+  readonly shares?: (
+    steps: readonly shareOrder.UrgentStep[],
+    freeCores: (service: string) => number,
+  ) => ReadonlyMap<workflowState.StepView, fairShares.ShareStanding>
 }
 
 export interface Plan {
@@ -127,6 +134,30 @@
   return { assignments, tasksLookedAt, workersLookedAt }
 }
 
+const MILLIS_PER_CORE = 1_000
+
+/** Urgency of the ready steps that reserve CPU, with their standings in the fair shares. */
+const urgenciesOf = (
+  input: PlacementInput,
+  allCandidates: readonly candidates.CandidateWorker[],
+): ReadonlyMap<workflowState.StepView, order.Urgency> => {
+  const steps = [...input.view.readySteps]
+    .filter(({ spec }) => !spec.filling)
+    .map((step) => ({ step, urgency: order.urgencyOf(step, input.expected, input.nowMs) }))
+  const urgencies = new Map(steps.map(({ step, urgency }) => [step, urgency]))
+  if (input.shares === undefined) return urgencies
+  const freeCores = (service: string): number =>
+    allCandidates
+      .filter(({ worker }) => worker.description.service === service)
+      .reduce((sum, { cpuMillis }) => sum + Math.max(0, cpuMillis) / MILLIS_PER_CORE, 0)
+  const ordered = steps.sort((a, b) => order.compareUrgency(a.urgency, b.urgency))
+  for (const [step, share] of input.shares(ordered, freeCores)) {
+    const urgency = urgencies.get(step)
+    if (urgency !== undefined) urgencies.set(step, { ...urgency, share })
+  }
+  return urgencies
+}
+
 /** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
 export const planAssignments = (input: PlacementInput): Plan => {
   const { view } = input
@@ -134,12 +165,13 @@
     return { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
   }
   const allCandidates = candidates.createCandidates(input)
+  const urgencies = urgenciesOf(input, allCandidates)
   const ordered = [...view.readySteps]
     .filter(({ spec }) => input.skipBestEffort !== true || !spec.filling)
     .map((step) => ({
       step,
       rank: step.spec.filling ? input.fillerRank(step) : undefined,
-      urgency: step.spec.filling ? undefined : order.urgencyOf(step, input.expected, input.nowMs),
+      urgency: urgencies.get(step),
     }))
     .sort((a, b) => {
       if (a.rank !== undefined && b.rank !== undefined) return a.rank - b.rank
