feat(workflow-control): fair shares in the leader's term

With `fairShares` the term creates the shares, rebuilds their usage from the replicated state, charges committed starts, and passes standings to the order of steps and to the ranking of best-effort jobs.

--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -33,6 +33,7 @@
   readonly avoids: scheduling.PlacementInput['avoids']
   /** @default `planAssignments` of the scheduling package */
   readonly planAssignments?: typeof scheduling.planAssignments
+  readonly shares?: scheduling.PlacementInput['shares']
   /** Sends the start orders of committed assignments to their workers. */
   readonly start: (accepted: readonly protocol.workflow.Assignment[]) => void
 }
@@ -95,6 +96,7 @@
         mayDisturb: options.mayDisturb,
         waitedMs,
         avoids: options.avoids,
+        shares: options.shares,
       }),
     )
     // No pause after a full round: another one can place more tasks.
--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -2,6 +2,7 @@
 import type * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as bestEffortShares from './bestEffortShares.js'
 import * as clocks from './clock.js'
 import type * as workStatistics from './workStatistics.js'
 
@@ -25,6 +26,12 @@
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
   readonly work: Pick<workStatistics.WorkStatistics, 'count' | 'measure'>
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
+  /** Standings of the competing jobs of a service in the fair shares. @default no fair shares */
+  readonly shares?: (
+    service: string,
+    jobs: readonly scheduling.CompetingJob[],
+    supply: scheduling.PoolSupply,
+  ) => readonly scheduling.ShareStanding[]
 }
 
 export interface BestEffortRanks {
@@ -103,6 +110,34 @@
     }
   }
 
+  /** Adds the standings in the fair shares to the jobs of a service, which are given in the order of `steps`. */
+  const withShares = (
+    service: string,
+    steps: readonly workflowState.StepView[],
+    jobs: readonly scheduling.BestEffortJob[],
+    supply: number,
+  ): readonly scheduling.BestEffortJob[] => {
+    if (options.shares === undefined) return jobs
+    const competing = steps.flatMap((step, index) => {
+      const job = jobs[index]
+      return job === undefined ? [] : [{ step, job }]
+    })
+    // Selected jobs keep their place, so their work counts before that of the others of their key.
+    competing.sort(
+      (a, b) =>
+        Number(chosen.has(b.job.key)) - Number(chosen.has(a.job.key)) ||
+        a.job.untilDueMs - b.job.untilDueMs,
+    )
+    const works = competing.map(({ step, job }) => ({
+      ...bestEffortShares.unstartedWorkOf(stepsOf(step), expected),
+      job: step.job,
+      isExpired: job.chainMs > job.untilExpiryMs,
+    }))
+    const cores = bestEffortShares.supplyOf(steps.map(stepsOf), supply)
+    const standings = options.shares(service, works, cores)
+    return competing.map(({ job }, index) => ({ ...job, share: standings[index] }))
+  }
+
   /** One ready or running best-effort step of each occurrence, by service and occurrence. */
   const competingSteps = (): ReadonlyMap<string, ReadonlyMap<string, workflowState.StepView>> => {
     const byService = new Map<string, Map<string, workflowState.StepView>>()
@@ -136,7 +171,8 @@
       const samples = new Map([...steps.values()].map((step) => [step.spec.image, step]))
       const supply = supplyOf(service)(input, [...samples.values()].slice(0, MAX_SUPPLY_IMAGES))
       const jobs = [...steps.values()].map((step) => jobOf(step, atMs))
-      const order = scheduling.rankBestEffortJobs(jobs, supply, chosen)
+      const shared = withShares(service, [...steps.values()], jobs, supply)
+      const order = scheduling.rankBestEffortJobs(shared, supply, chosen)
       for (const [key, position] of order.ranks) next.set(key, position)
       for (const key of order.chosen) nextChosen.add(key)
     }
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -29,6 +29,8 @@
   readonly onChange: () => void
   /** Whether a worker has reported a run of the job. */
   readonly hasStarted: (job: string) => boolean
+  /** Fair shares of the present term; undefined if there is none or they are off. */
+  readonly shares?: () => scheduling.TermShares | undefined
 }
 
 const jobStates: Readonly<Record<workflowState.JobPhase, protocol.workflow.JobState>> = {
@@ -46,10 +48,13 @@
 
 export const createCallHandlers = (
   ctx: context.ControlContext,
-  { onChange, hasStarted }: CallOptions,
+  { onChange, hasStarted, shares = () => undefined }: CallOptions,
 ): CallHandlers => {
   const { logger } = ctx.options
-  const admissionPolicy = scheduling.createAcceptAll()
+  const admissionPolicy = scheduling.createFairShareAdmission({
+    policy: scheduling.createAcceptAll(),
+    shares,
+  })
 
   const reply = (
     outcome: protocol.workflow.CallOutcome,
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -19,6 +19,7 @@
 import * as runProgress from './runProgress.js'
 import * as runStops from './runStops.js'
 import * as termPolicies from './termPolicies.js'
+import * as termShares from './termShares.js'
 import * as waitMonitors from './waitMonitor.js'
 import * as sessions from './workerSession.js'
 
@@ -79,6 +80,8 @@
   readonly dispatch: () => void
   readonly hasStarted: (job: string) => boolean
   readonly sessionCount: () => number
+  /** Fair shares of the term; undefined if they are off. */
+  readonly shares: termShares.TermShares | undefined
   readonly stop: () => void
 }
 
@@ -115,6 +118,11 @@
   const health = scheduling.createHealth()
   const durations = policies.createDurations()
   const progress = runProgress.createRunProgress(durations)
+  const shares = termShares.createTermShares({
+    ctx,
+    expected: durations,
+    timeOfDayMs: clock.timeOfDayMs,
+  })
   const disturbance = policies.createInterferenceModel()
   const endCommits = pendingEndCommits.createPendingEndCommits()
   const proposeBatched = proposalBatch.createProposalBatch(ctx)
@@ -591,6 +599,7 @@
     const repeated = ctx.leadingTerm() !== term
     for (const { task, worker } of accepted) {
       const active = task && activeRun(task)
+      if (active !== undefined) shares?.recordStart(active)
       if (worker === undefined || active?.step.job.phase !== 'active') continue
       const key = workflowState.workerKey(worker)
       byWorker.set(key, [...(byWorker.get(key) ?? []), startOrder(active, repeated)])
@@ -607,6 +616,7 @@
     percentOf: progress.percentOf,
     work: ctx.work,
     eligibleWorkers,
+    shares: shares?.standingsOfJobs,
   })
 
   const pacing = policies.createBestEffortPacing({
@@ -631,6 +641,7 @@
     mayDisturb: ranks.isChosen,
     avoids: (task, worker) => failedWorkers.get(workflowState.taskKey(task))?.has(worker) ?? false,
     planAssignments: policies.planAssignments,
+    shares: shares?.standingsOfSteps,
     start: sendStarts,
   })
 
@@ -678,6 +689,7 @@
     dispatch: rounds.dispatch,
     hasStarted: (job) => startedJobs.has(job),
     sessionCount: () => byAgent.size,
+    shares,
     stop: () => {
       rounds.stop()
       cancelSweeps()
--- a/packages/workflow-control/src/workStatistics.ts
+++ b/packages/workflow-control/src/workStatistics.ts
@@ -1,7 +1,14 @@
 /** Counts the work that a control replica does on its event loop, and the time spent in each part of it. */
 
 export type WorkCount =
-  'reports' | 'rounds' | 'tasksLookedAt' | 'workersLookedAt' | 'rankings' | 'proposals' | 'commits'
+  | 'reports'
+  | 'rounds'
+  | 'tasksLookedAt'
+  | 'workersLookedAt'
+  | 'rankings'
+  | 'proposals'
+  | 'commits'
+  | 'shareDeferrals'
 
 /**
  * Parts of the work: the leader's planning, handling of agents' reports and sweeps; sending orders to agents; receiving and
@@ -43,6 +50,7 @@
     rankings: 0,
     proposals: 0,
     commits: 0,
+    shareDeferrals: 0,
   }
   const spentMs = {
     plan: 0,
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -36,6 +36,9 @@
 /** Bytes after which a snapshot is taken, far below the smallest disk. */
 const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024
 
+/** Limit on the keys of the fair shares in the metrics, which bounds the size of a scrape. */
+const MAX_SHARE_KEYS = 32
+
 /** Why the role did not start or cannot continue; `detail` is a human-readable description. */
 export interface ControlError {
   readonly reason: 'data-folder' | 'listen' | 'disk' | 'invariant'
@@ -63,6 +66,8 @@
   readonly jobs: number
   readonly readySteps: number
   readonly attachedWorkers: number
+  /** Usage in core seconds of the keys with the largest usage in the fair shares; empty unless this replica leads. */
+  readonly shareUsageCoreS: ReadonlyMap<string, number>
   readonly ends: endMonitors.EndCounts
   /** Work done since the start of the process. */
   readonly work: workStatistics.WorkTotals
@@ -206,6 +211,7 @@
       calls: calls.createCallHandlers(ctx, {
         onChange,
         hasStarted: (job) => term?.hasStarted(job) ?? false,
+        shares: () => (ctx.leadingTerm() === term?.term ? term?.shares : undefined),
       }),
       membership: group,
       term: () => (ctx.leadingTerm() === term?.term ? term : undefined),
@@ -262,6 +268,7 @@
         jobs: state.view.jobs.size,
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
+        shareUsageCoreS: term?.shares?.usageCoreS(MAX_SHARE_KEYS) ?? new Map(),
         ends: endCounter,
         work: work.totals(),
       }
--- a/packages/workflow-scheduling/src/bestEffortRanking.ts
+++ b/packages/workflow-scheduling/src/bestEffortRanking.ts
@@ -138,6 +138,7 @@
   return [...densities.keys()].sort(
     (a, b) =>
       shareOrderOf(a, alreadySelected.has(a.key)) - shareOrderOf(b, alreadySelected.has(b.key)) ||
+      (a.share?.sinceMs ?? 0) - (b.share?.sinceMs ?? 0) ||
       (densities.get(b) ?? 0) - (densities.get(a) ?? 0) ||
       byDue(a, b),
   )
