--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -122,12 +122,9 @@
       const job = jobs[index]
       return job === undefined ? [] : [{ step, job }]
     })
-    // Selected jobs keep their place, so their work counts before that of the others of their key.
-    competing.sort(
-      (a, b) =>
-        Number(chosen.has(b.job.key)) - Number(chosen.has(a.job.key)) ||
-        a.job.untilDueMs - b.job.untilDueMs,
-    )
+    // Within a key, the order without shares stays: one by due time would make all of its jobs late under overload.
+    const { ranks: unshared } = scheduling.rankBestEffortJobs(jobs, supply, chosen)
+    competing.sort((a, b) => (unshared.get(a.job.key) ?? 0) - (unshared.get(b.job.key) ?? 0))
     const works = competing.map(({ step, job }) => ({
       ...bestEffortShares.unstartedWorkOf(stepsOf(step), expected),
       job: step.job,
--- a/packages/workflow-control/src/bestEffortShares.ts
+++ b/packages/workflow-control/src/bestEffortShares.ts
@@ -36,6 +36,6 @@
     cores += step.tasks.length * scheduling.coresOf(step)
   }
   const meanCores = tasks > 0 ? cores / tasks : 0
-  const running = Math.min(supply, runningTasks)
-  return { freeCores: (supply - running) * meanCores, runningCores: running * meanCores }
+  const freeTasks = Math.max(0, supply * scheduling.PLANNED_SUPPLY_SHARE - runningTasks)
+  return { freeCores: freeTasks * meanCores, runningCores: runningTasks * meanCores }
 }
