--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -5,6 +5,7 @@
 import * as vitest from 'vitest'
 import type * as context from '../src/context.js'
 import * as leaderTerm from '../src/leaderTerm.js'
+import type * as schedulingOptions from '../src/schedulingOptions.js'
 import * as timing from '../src/timing.js'
 import * as workStatistics from '../src/workStatistics.js'
 import type * as workerSession from '../src/workerSession.js'
@@ -68,7 +69,7 @@
 }
 
 /** Leader's term over a state machine that commits immediately, with a clock that the test advances. */
-export const createTermHarness = () => {
+export const createTermHarness = (scheduling?: schedulingOptions.SchedulingOptions) => {
   vitest.vi.useFakeTimers()
   const state = workflowState.createWorkflowState()
   const logs: LogLine[] = []
@@ -103,6 +104,7 @@
       toleratedLosses: 1,
       timing: timing.resolveTiming({ maxLeaseMs: LEASE_MS }).unwrap(),
       statusRetentionMs: 120_000,
+      scheduling,
       logger,
     },
     replica: {} as context.ControlContext['replica'],
@@ -216,6 +218,9 @@
     held,
     logs,
     term,
+    /** Creates the term of a new leader over the same state. */
+    nextTerm: () => leaderTerm.createLeaderTerm(ctx, 8),
+    work: ctx.work,
     attach,
     submit: (
       id: string,
--- a/packages/workflow-scheduling/__tests__/shareSimulation.ts
+++ b/packages/workflow-scheduling/__tests__/shareSimulation.ts
@@ -53,7 +53,7 @@
   readonly callers: ReadonlyMap<string, Outcomes>
   /** Steps that were placed after others because of their share. */
   readonly aboveCount: number
-  /** Longest time for which capacity was free while a task waited. */
+  /** Plans after which capacity was free although a task waited. */
   readonly idleTicks: number
 }
 
@@ -107,7 +107,7 @@
     outcomes.jobs += 1
     const steps = [support.step({ taskCount: of.tasks, estimatedMs: of.taskMs })]
     const queue = support.queue({ name: of.queue })
-    const spec = protocol.workflow.JobSpec.fromPartial({ id, steps })
+    const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps }
     const { callerDomain } = of
     const decided = policy.decide({ spec, queue, callerDomain }, { view }, atMs)
     if (decided.kind === 'accepted') {
--- a/packages/workflow-scheduling/src/fairShareAdmission.ts
+++ b/packages/workflow-scheduling/src/fairShareAdmission.ts
@@ -38,16 +38,20 @@
   readonly shares: () => TermShares | undefined
 }
 
-const HASH_FACTOR = 31
-const HASH_RANGE = 65_536
+/** Constants of FNV-1a with 32 bits, and a factor that mixes its low bits, as ids may differ in their last digit only. */
+const FNV_OFFSET = 0x811c9dc5
+const FNV_PRIME = 0x01000193
+const MIX_FACTOR = 0x2c1b3c6d
+const HASH_RANGE = 2 ** 32
 
 /** Number from 0 to 1 that depends on the text only, so that the decision needs no random source. */
 const fractionOf = (text: string): number => {
-  let hash = 0
-  for (const character of text) {
-    hash = (hash * HASH_FACTOR + (character.codePointAt(0) ?? 0)) % HASH_RANGE
+  let hash = FNV_OFFSET
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
   }
-  return hash / HASH_RANGE
+  const mixed = Math.imul(hash ^ (hash >>> 15), MIX_FACTOR)
+  return (mixed >>> 0) / HASH_RANGE
 }
 
 /** Objective of a submission by its estimates. */
