fix(workflow-scheduling): a starving best-effort job waits for selected ones instead of displacing them

A job that is dropped halfway has used supply in vain. A starving job now comes after the selected ones, may use as much of the supply as they, and keeps later jobs from taking what it waits for.

--- a/packages/workflow-scheduling/__tests__/bestEffortRanking.spec.ts
+++ b/packages/workflow-scheduling/__tests__/bestEffortRanking.spec.ts
@@ -25,6 +25,67 @@
     .sort(([, a], [, b]) => a - b)
     .map(([key]) => key)
 
+describe('fair shares of best-effort jobs', () => {
+  const standing = (shareClass: scheduling.ShareClass): scheduling.ShareStanding => ({
+    shareClass,
+    sinceMs: 0,
+  })
+  // Plans use 9.6 tasks, or 14.4 for selected and starving jobs; a job needs 8.
+  const cases: readonly {
+    readonly name: string
+    readonly jobs: readonly scheduling.BestEffortJob[]
+    readonly selected?: readonly string[]
+    readonly chosen: readonly string[]
+    readonly ranked: readonly string[]
+  }[] = [
+    {
+      name: 'guards against a job above its share before one within',
+      jobs: [
+        job('above', { remainingMs: 20_000, share: standing('above') }),
+        job('within', { share: standing('within') }),
+      ],
+      chosen: ['within'],
+      ranked: ['within', 'above'],
+    },
+    {
+      name: 'guards against a starving job that does not go first',
+      jobs: [
+        job('within', { remainingMs: 20_000, share: standing('within') }),
+        job('large', { remainingMs: 120_000, share: standing('starving') }),
+      ],
+      chosen: ['large'],
+      ranked: ['large', 'within'],
+    },
+    {
+      name: 'guards against a starving job that displaces a selected one, whose work would be wasted',
+      jobs: [
+        job('selected', { share: standing('above') }),
+        job('starving', { share: standing('starving') }),
+      ],
+      selected: ['selected'],
+      chosen: ['selected'],
+      ranked: ['selected', 'starving'],
+    },
+    {
+      name: 'guards against smaller jobs that take the supply for which a starving job waits',
+      jobs: [
+        job('selected', { remainingMs: 20_000, share: standing('within') }),
+        job('starving', { remainingMs: 60_000, share: standing('starving') }),
+        job('small', { remainingMs: 10_000, share: standing('within') }),
+      ],
+      selected: ['selected'],
+      chosen: ['selected'],
+      ranked: ['selected', 'starving', 'small'],
+    },
+  ]
+
+  it.each(cases)('$name', ({ jobs, selected = [], chosen, ranked }) => {
+    const result = scheduling.rankBestEffortJobs(jobs, SUPPLY, new Set(selected))
+    expect([...result.chosen]).toEqual(chosen)
+    expect([...result.ranks.keys()]).toEqual(ranked)
+  })
+})
+
 describe('ranking of best-effort jobs', () => {
   // Each case guards against an order in which jobs share a supply that lets only some of them end in time.
   const cases: readonly {
--- a/packages/workflow-scheduling/src/bestEffortRanking.ts
+++ b/packages/workflow-scheduling/src/bestEffortRanking.ts
@@ -91,9 +91,14 @@
   let parallelism = 0
   for (const job of candidates) {
     const isKept = alreadySelected.has(job.key) && isWithinGrace(job)
-    const share = isKept ? KEPT_SUPPLY_SHARE : PLANNED_SUPPLY_SHARE
+    const isStarving = job.share?.shareClass === 'starving'
+    const share = isKept || isStarving ? KEPT_SUPPLY_SHARE : PLANNED_SUPPLY_SHARE
     const planned = Math.max(MIN_SUPPLY, supply * share)
-    if (selected.length > 0 && parallelism + parallelismOf(job) > planned) continue
+    if (selected.length > 0 && parallelism + parallelismOf(job) > planned) {
+      // The supply that selected jobs leave goes to the starving job, not to later ones that need less at a time.
+      if (isStarving && !isKept) break
+      continue
+    }
     parallelism += parallelismOf(job)
     selected.push(job)
   }
@@ -106,18 +111,17 @@
   return isExpired(job) ? 0 : LATE_VALUE_SHARE
 }
 
-const SHARE_ORDER: Readonly<Record<fairShares.ShareClass, number>> = {
-  starving: 0,
-  within: 1,
-  above: 2,
+/** A selected job keeps its place, also before starving ones: the supply that it has used would be wasted. */
+const SHARE_ORDER: Readonly<Record<fairShares.ShareClass | 'selected', number>> = {
+  selected: 0,
+  starving: 1,
+  within: 2,
+  above: 3,
 }
 
-/** A selected job above its share keeps its place: the supply that it has used would be wasted. */
-const shareOrderOf = ({ share }: BestEffortJob, isSelected: boolean): number => {
-  if (share === undefined) return SHARE_ORDER.within
-  return isSelected && share.shareClass === 'above'
-    ? SHARE_ORDER.within
-    : SHARE_ORDER[share.shareClass]
+const shareOrderOf = (job: BestEffortJob, isSelected: boolean): number => {
+  if (job.share === undefined) return SHARE_ORDER.within
+  return isSelected && isWithinGrace(job) ? SHARE_ORDER.selected : SHARE_ORDER[job.share.shareClass]
 }
 
 /**
