fix(workflow-scheduling): fair shares leave long-running steps alone

Decayed usage forgets a long-running task while it still runs, so a share says nothing about it. Its start is not charged and its steps are never deferred.

--- a/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
+++ b/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
@@ -156,6 +156,26 @@
   })
 })
 
+describe('long-running steps', () => {
+  it('guards against a deferral of long-running steps, and against a charge for their start', () => {
+    const cell = support.createCell([support.worker('w')])
+    const order = scheduling.createShareOrder({ expected: cell.expected, weights: new Map() })
+    const { view } = cell.state
+    cell.submit('long', [support.step({ lasting: true, taskCount: 9 })], undefined, 0, 'rennes')
+    cell.submit('other', [support.step()], undefined, 0, 'nantes')
+    const ready = [...view.readySteps]
+    const long = ready.find(({ spec }) => spec.lasting)
+    const task = long?.tasks[0]
+    if (long === undefined || task === undefined) throw new Error('no step')
+    order.recordStart({ step: long, task }, 0)
+    expect([...order.usage(0, 10).values()]).toEqual([])
+    const urgency = { priority: 0, outlook: 'in-time' as const, latestStartMs: 0 }
+    const steps = ready.map((step) => ({ step, urgency }))
+    const standings = order.standingsOfSteps(steps, view, () => 0, 0)
+    expect(standings.get(long)?.shareClass).toBe('within')
+  })
+})
+
 describe('without fair shares', () => {
   it('guards against a plan that depends on callers, queues or sizes', () => {
     const plans = ['', 'rennes'].map((domain) => {
--- a/packages/workflow-scheduling/src/shareOrder.ts
+++ b/packages/workflow-scheduling/src/shareOrder.ts
@@ -124,7 +124,12 @@
     return key
   }
 
-  const taskCoreMs = (step: workflowState.StepView): number => coresOf(step) * expected.expect(step)
+  /**
+   * Core time that a start is charged. Long-running steps cost nothing and are never deferred: their start does not tell
+   * how long they use the CPU, and usage that decays forgets them while they run.
+   */
+  const taskCoreMs = (step: workflowState.StepView): number =>
+    step.spec.lasting ? 0 : coresOf(step) * expected.expect(step)
 
   const standingsOfSteps: ShareOrder['standingsOfSteps'] = (steps, view, freeCores, nowMs) => {
     const standings = new Map<workflowState.StepView, fairShares.ShareStanding>()
@@ -140,7 +145,7 @@
       const pool = poolName(service, false)
       const waiting = ofService.map(({ step, urgency }) => ({
         key: keyOf(step.job),
-        cores: step.waitingCount * coresOf(step),
+        cores: step.spec.lasting ? 0 : step.waitingCount * coresOf(step),
         coreMs: step.waitingCount * taskCoreMs(step),
         isExpired: urgency.outlook === 'expired',
       }))
@@ -170,11 +175,10 @@
         const coreMs = taskCoreMs(step)
         const runAgeMs = Math.min(ageMs, expected.expect(step) / 2)
         const add = (count: number, atMs: number): void => {
-          if (count > 0) charges.push({ pool, key, coreMs: count * coreMs, atMs })
+          if (count > 0 && coreMs > 0) charges.push({ pool, key, coreMs: count * coreMs, atMs })
         }
         add(step.completedCount, nowMs - completedAgeMs)
-        // Runs of long-running steps are as old as their job.
-        add(step.assignedCount, nowMs - (step.spec.lasting ? ageMs : runAgeMs))
+        add(step.assignedCount, nowMs - runAgeMs)
       }
     }
     return charges
@@ -194,7 +198,7 @@
       return shares.rank(poolName(service, true), waiting, supply, nowMs)
     },
     recordStart: ({ step, task }, nowMs) => {
-      if (task.run > 1) return
+      if (task.run > 1 || step.spec.lasting) return
       shares.charge(poolOfStep(step), keyOf(step.job), taskCoreMs(step), nowMs)
     },
     rebuild: (view, nowMs, timeOfDayMs) => {
