fix(workflow-scheduling): a submission is refused only for work of its key that goes before it

The backlog of a key counted in full, so a short job could be refused because of waiting jobs with a later latest start, which it precedes. Each part of the waiting work now has its precedence.

--- a/packages/workflow-control/__tests__/submissions.spec.ts
+++ b/packages/workflow-control/__tests__/submissions.spec.ts
@@ -60,7 +60,7 @@
   sinceMs: 0,
   order: {
     keyOfSubmission: ({ callerDomain }) => scheduling.shareKey('quotes', callerDomain, 'small'),
-    poolsOf: () => new Set(['desk/reserved']),
+    poolsOf: () => new Map([['desk/reserved', 0]]),
     positions: () => ({
       atMs: NOW_MS,
       keys: new Map(
@@ -70,7 +70,9 @@
         ].map(({ domain, waitingCoreMs }) => {
           const key = scheduling.shareKey('quotes', domain, 'small')
           const usageCoreMs = 10_000
-          return [key.text, { key, usageCoreMs, waitingCoreMs, shareCoreMs: 9_000, shareCores: 1 }]
+          const waiting = [{ precedence: 0, coreMs: waitingCoreMs }]
+          const share = { shareCoreMs: 9_000, shareCores: 1 }
+          return [key.text, { key, usageCoreMs, waitingCoreMs, waiting, ...share }]
         }),
       ),
     }),
--- a/packages/workflow-control/__tests__/termShares.spec.ts
+++ b/packages/workflow-control/__tests__/termShares.spec.ts
@@ -108,6 +108,7 @@
     const steps: readonly scheduling.UrgentStep[] = ready.map((step) => ({
       step,
       urgency: { priority: 0, outlook: 'in-time', latestStartMs: 0 },
+      slackMs: 0,
     }))
     const spanMs = 12_000
     for (let passedMs = 0; passedMs < spanMs; passedMs += 100) {
--- a/packages/workflow-scheduling/__tests__/fairShareAdmission.spec.ts
+++ b/packages/workflow-scheduling/__tests__/fairShareAdmission.spec.ts
@@ -32,7 +32,15 @@
   usageCoreMs: number,
   waitingCoreMs: number,
   shareCoreMs: number,
-): scheduling.KeyPosition => ({ key, usageCoreMs, waitingCoreMs, shareCoreMs, shareCores: 2 })
+  precedence = 0,
+): scheduling.KeyPosition => ({
+  key,
+  usageCoreMs,
+  waitingCoreMs,
+  shareCoreMs,
+  shareCores: 2,
+  waiting: [{ precedence, coreMs: waitingCoreMs }],
+})
 
 const ACCEPTED: scheduling.Admission = { kind: 'accepted' }
 const REFUSED: scheduling.Admission = {
@@ -54,7 +62,7 @@
       sinceMs,
       order: {
         keyOfSubmission: () => OWN,
-        poolsOf: () => new Set([POOL]),
+        poolsOf: () => new Map([[POOL, 0]]),
         positions: (pool) => (pool === POOL ? { atMs, keys } : undefined),
       },
     }),
@@ -99,6 +107,11 @@
       positions: [position(OWN, 9_000, 14_000, 5_000), position(OTHER, 1_000, 1_000, 2_000)],
       kind: 'accepted',
     },
+    {
+      name: 'guards against a refusal because of work of the key that the job precedes',
+      positions: [position(OWN, 9_000, 20_000, 5_000, 1), position(OTHER, 1_000, 1_000, 2_000)],
+      kind: 'accepted',
+    },
     {
       name: 'guards against a refusal by an old view',
       positions: EXCEEDING,
--- a/packages/workflow-scheduling/__tests__/fairShares.spec.ts
+++ b/packages/workflow-scheduling/__tests__/fairShares.spec.ts
@@ -22,6 +22,7 @@
   cores,
   coreMs,
   isExpired: false,
+  precedence: 0,
 })
 
 const NO_SUPPLY: scheduling.PoolSupply = { freeCores: 0, runningCores: 10 }
@@ -344,6 +345,7 @@
         cores: 1,
         coreMs: 1_000,
         isExpired: false,
+        precedence: 0,
       }
     })
     shares.rank(POOL, waiting, NO_SUPPLY, 2 * scheduling.KEY_RETENTION_MS)
--- a/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
+++ b/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
@@ -57,11 +57,12 @@
     expect(createSizes(sizes).classOf('quotes', size)).toBe(expected)
   })
 
-  it('guards against a burst of large jobs that raises the part of large jobs', () => {
-    const sizes = countTo(480).map((index) => (index % 20 === 0 ? 40 : 4))
+  it('guards against a burst of large jobs that raises the part of large jobs without bound', () => {
+    const sizes = countTo(480).map((index) => (index % 20 === 0 ? 40 + index / 1_000 : 4))
+    const burst = countTo(160).map((index) => 41 + index / 1_000)
     const before = createSizes(sizes).partOf('quotes', 'large')
-    const after = createSizes([...sizes, ...countTo(32).map(() => 40)]).partOf('quotes', 'large')
-    // 1 of 20 jobs is large before; the class counts as at most 1 of 10.
+    const after = createSizes([...sizes, ...burst]).partOf('quotes', 'large')
+    // 1 of 20 jobs is large before, and more than 1 of 4 during the burst; the class has at most 1 of 10.
     expect(before).toBeCloseTo(40 / (40 + 19 * 4), 1)
     expect(after).toBeLessThanOrEqual(40 / (40 + 9 * 4))
   })
@@ -115,6 +116,7 @@
     const steps = [...view.readySteps].map((step) => ({
       step,
       urgency: { priority: 0, outlook: 'in-time' as const, latestStartMs: 0 },
+      slackMs: 0,
     }))
     const standings = order.standingsOfSteps(steps, view, () => 0, nowMs)
     return new Map([...standings].map(([step, { shareClass }]) => [step.job.spec.id, shareClass]))
@@ -170,7 +172,7 @@
     order.recordStart({ step: long, task }, 0)
     expect([...order.usage(0, 10).values()]).toEqual([])
     const urgency = { priority: 0, outlook: 'in-time' as const, latestStartMs: 0 }
-    const steps = ready.map((step) => ({ step, urgency }))
+    const steps = ready.map((step) => ({ step, urgency, slackMs: 0 }))
     const standings = order.standingsOfSteps(steps, view, () => 0, 0)
     expect(standings.get(long)?.shareClass).toBe('within')
   })
--- a/packages/workflow-scheduling/src/fairShareAdmission.ts
+++ b/packages/workflow-scheduling/src/fairShareAdmission.ts
@@ -3,10 +3,10 @@
  * caller, and a caller above its share is refused before the others.
  */
 import * as admission from './admission.js'
-import * as durations from './durations.js'
 import type * as fairShares from './fairShares.js'
 import * as order from './order.js'
 import type * as shareOrder from './shareOrder.js'
+import * as submissionTimes from './submissionTimes.js'
 
 /** Age from which positions are no basis for a refusal, in milliseconds: by then capacity may be free. */
 const MAX_POSITIONS_AGE_MS = 2_000
@@ -54,26 +54,24 @@
   return (mixed >>> 0) / HASH_RANGE
 }
 
-/** Objective of a submission by its estimates. */
-const objectiveMsOf = ({ spec, queue }: admission.AdmissionRequest): number => {
-  const chains = spec.steps.map(() => 0)
-  for (const [index, step] of spec.steps.entries()) {
-    const before = Math.max(0, ...step.after.map((at) => chains[at] ?? 0))
-    chains[index] =
-      before + (step.estimatedMs > 0 ? step.estimatedMs : durations.DEFAULT_DURATION_MS)
-  }
-  return Math.max(0, ...chains) * queue.slackFactor + queue.latencyTargetMs
-}
-
 /** Whether the pool can serve all waiting work of a key. */
 const isServed = ({ usageCoreMs, waitingCoreMs, shareCoreMs }: fairShares.KeyPosition): boolean =>
   shareCoreMs >= (usageCoreMs + waitingCoreMs) * (1 - Number.EPSILON * 8)
 
-/** Time until the waiting work of a key is started at the rate of its share. */
-const backlogMs = ({ waitingCoreMs, shareCores }: fairShares.KeyPosition): number =>
-  waitingCoreMs / Math.max(Number.MIN_VALUE, shareCores)
+/** Time until the waiting work of a key that goes before a submission is started at the rate of its share. */
+const backlogMs = (
+  { waiting, shareCores }: fairShares.KeyPosition,
+  ownPrecedence: number,
+): number => {
+  let aheadCoreMs = 0
+  for (const { precedence, coreMs } of waiting)
+    if (precedence <= ownPrecedence) aheadCoreMs += coreMs
+  return aheadCoreMs / Math.max(Number.MIN_VALUE, shareCores)
+}
 
 interface Standing {
+  /** Precedence of the submission among the waiting work of its key. */
+  readonly precedence: number
   /** Position of the key that the submission would get; undefined if it has no usage and no waiting work. */
   readonly own: fairShares.KeyPosition | undefined
   /** Whether work of other keys waits in the same pool. */
@@ -82,14 +80,18 @@
   readonly someoneExceeds: boolean
 }
 
-const standingIn = ({ keys }: fairShares.PoolPositions, key: fairShares.ShareKey): Standing => {
+const standingIn = (
+  { keys }: fairShares.PoolPositions,
+  key: fairShares.ShareKey,
+  precedence: number,
+): Standing => {
   let othersWait = false
   let someoneExceeds = false
   for (const position of keys.values()) {
     if (position.key.text !== key.text && position.waitingCoreMs > 0) othersWait = true
     if (!isServed(position)) someoneExceeds = true
   }
-  return { own: keys.get(key.text), othersWait, someoneExceeds }
+  return { precedence, own: keys.get(key.text), othersWait, someoneExceeds }
 }
 
 /** Wraps a policy; long-running and recurring jobs are left to it. */
@@ -101,10 +103,10 @@
     const current = shares()
     if (current === undefined || nowMs - current.sinceMs < SETTLING_MS) return []
     const key = current.order.keyOfSubmission(request)
-    return [...current.order.poolsOf(request)].flatMap((pool) => {
+    return [...current.order.poolsOf(request)].flatMap(([pool, precedence]) => {
       const positions = current.order.positions(pool)
       const isRecent = positions !== undefined && nowMs - positions.atMs <= MAX_POSITIONS_AGE_MS
-      return isRecent ? [standingIn(positions, key)] : []
+      return isRecent ? [standingIn(positions, key, precedence)] : []
     })
   }
 
@@ -138,11 +140,11 @@
         })
       return isWithin ? { kind: 'accepted' } : decided
     }
-    const objectiveMs = objectiveMsOf(request)
-    for (const { own, othersWait } of standings) {
+    const { objectiveMs } = submissionTimes.timesOf(spec.steps, request.queue)
+    for (const { own, othersWait, precedence } of standings) {
       if (own === undefined || !othersWait || isServed(own)) continue
       if (own.usageCoreMs < own.shareCoreMs) continue
-      const waitMs = backlogMs(own)
+      const waitMs = backlogMs(own, precedence)
       if (waitMs > order.EXPIRY_FACTOR * objectiveMs) return refuse(request, waitMs, objectiveMs)
     }
     return decided
--- a/packages/workflow-scheduling/src/fairShares.ts
+++ b/packages/workflow-scheduling/src/fairShares.ts
@@ -65,6 +65,8 @@
   readonly coreMs: number
   /** Whether the value of its job has expired; such work has no claim to a share. */
   readonly isExpired: boolean
+  /** Work of a key with a lower number goes first: time until its latest start, or size of a best-effort job. */
+  readonly precedence: number
 }
 
 /** CPU of a pool for work that ends by itself. */
@@ -83,6 +85,8 @@
   readonly shareCoreMs: number
   /** CPU that the share is expected to give to the key. */
   readonly shareCores: number
+  /** Parts of the waiting work. */
+  readonly waiting: readonly Pick<WaitingWork, 'precedence' | 'coreMs'>[]
 }
 
 export interface PoolPositions {
@@ -135,6 +139,7 @@
   readonly state: KeyState
   waitingCoreMs: number
   shareCoreMs: number
+  readonly waiting: WaitingWork[]
 }
 
 const WITHIN: ShareStanding = { shareClass: 'within', sinceMs: 0 }
@@ -262,11 +267,13 @@
     const demands = new Map<string, Demand>()
     for (const [text, state] of pool.keys) {
       decay(state, nowMs)
-      demands.set(text, { state, waitingCoreMs: 0, shareCoreMs: 0 })
+      demands.set(text, { state, waitingCoreMs: 0, shareCoreMs: 0, waiting: [] })
     }
-    for (const { key, coreMs, isExpired } of waiting) {
-      const demand = demands.get(key.text)
-      if (demand !== undefined && !isExpired) demand.waitingCoreMs += coreMs
+    for (const item of waiting) {
+      const demand = demands.get(item.key.text)
+      if (demand === undefined || item.isExpired) continue
+      demand.waitingCoreMs += item.coreMs
+      demand.waiting.push(item)
     }
     return demands
   }
@@ -295,7 +302,7 @@
     pool.positions = {
       atMs: nowMs,
       keys: new Map(
-        all.map(({ state, waitingCoreMs, shareCoreMs }) => [
+        all.map(({ state, waitingCoreMs, shareCoreMs, waiting: waitingOfKey }) => [
           state.key.text,
           {
             key: state.key,
@@ -303,6 +310,7 @@
             waitingCoreMs,
             shareCoreMs,
             shareCores: capacity > 0 ? (cores * shareCoreMs) / capacity : 0,
+            waiting: waitingOfKey,
           },
         ]),
       ),
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -143,7 +143,10 @@
 ): ReadonlyMap<workflowState.StepView, order.Urgency> => {
   const steps = [...input.view.readySteps]
     .filter(({ spec }) => !spec.filling)
-    .map((step) => ({ step, urgency: order.urgencyOf(step, input.expected, input.nowMs) }))
+    .map((step) => {
+      const urgency = order.urgencyOf(step, input.expected, input.nowMs)
+      return { step, urgency, slackMs: urgency.latestStartMs - input.nowMs }
+    })
   const urgencies = new Map(steps.map(({ step, urgency }) => [step, urgency]))
   if (input.shares === undefined) return urgencies
   const freeCores = (service: string): number =>
--- a/packages/workflow-scheduling/src/shareOrder.ts
+++ b/packages/workflow-scheduling/src/shareOrder.ts
@@ -5,6 +5,7 @@
 import * as fairShares from './fairShares.js'
 import type * as order from './order.js'
 import * as sizeClasses from './sizeClasses.js'
+import * as submissionTimes from './submissionTimes.js'
 
 const MILLIS_PER_CORE = 1_000
 
@@ -19,6 +20,8 @@
 export interface UrgentStep {
   readonly step: workflowState.StepView
   readonly urgency: order.Urgency
+  /** Time until its latest start; negative after it. */
+  readonly slackMs: number
 }
 
 /** Best-effort job whose tasks compete for the supply of a service. */
@@ -57,8 +60,8 @@
    */
   readonly rebuild: (view: workflowState.WorkflowView, nowMs: number, timeOfDayMs: number) => void
   readonly positions: (pool: string) => fairShares.PoolPositions | undefined
-  /** Pools of which steps of a submission take part. */
-  readonly poolsOf: (subject: Pick<ShareSubject, 'spec' | 'queue'>) => ReadonlySet<string>
+  /** Pools in which steps of a submission take part, with its precedence among the waiting work of its key. */
+  readonly poolsOf: (subject: Pick<ShareSubject, 'spec' | 'queue'>) => ReadonlyMap<string, number>
   readonly usage: fairShares.FairShares['usage']
 }
 
@@ -143,11 +146,12 @@
     const running = runningCoresByPool(view)
     for (const [service, ofService] of byService) {
       const pool = poolName(service, false)
-      const waiting = ofService.map(({ step, urgency }) => ({
+      const waiting = ofService.map(({ step, urgency, slackMs }) => ({
         key: keyOf(step.job),
         cores: step.spec.lasting ? 0 : step.waitingCount * coresOf(step),
         coreMs: step.waitingCount * taskCoreMs(step),
         isExpired: urgency.outlook === 'expired',
+        precedence: slackMs,
       }))
       const supply = { freeCores: freeCores(service), runningCores: running.get(pool) ?? 0 }
       const ranked = shares.rank(pool, waiting, supply, nowMs)
@@ -194,6 +198,7 @@
         cores: unstartedCores,
         coreMs: unstartedCoreMs,
         isExpired,
+        precedence: unstartedCoreMs,
       }))
       return shares.rank(poolName(service, true), waiting, supply, nowMs)
     },
@@ -212,8 +217,18 @@
       }
     },
     positions: shares.positions,
-    poolsOf: ({ spec, queue }) =>
-      new Set(spec.steps.map(({ filling }) => poolName(queue.service, filling))),
+    poolsOf: ({ spec, queue }) => {
+      const bestEffort = spec.steps.filter(({ filling }) => filling)
+      const pools = new Map<string, number>()
+      if (bestEffort.length > 0) {
+        pools.set(poolName(queue.service, true), sizeClasses.estimatedCoreMs(bestEffort))
+      }
+      if (bestEffort.length < spec.steps.length) {
+        const { objectiveMs, chainMs } = submissionTimes.timesOf(spec.steps, queue)
+        pools.set(poolName(queue.service, false), objectiveMs - chainMs)
+      }
+      return pools
+    },
     usage: shares.usage,
   }
 }
--- a/packages/workflow-scheduling/src/sizeClasses.ts
+++ b/packages/workflow-scheduling/src/sizeClasses.ts
@@ -9,11 +9,6 @@
 const LARGE_QUANTILE = 0.9
 const MEDIUM_QUANTILE = 0.7
 
-const NOMINAL_PARTS = {
-  large: 1 - LARGE_QUANTILE,
-  medium: LARGE_QUANTILE - MEDIUM_QUANTILE,
-} as const
-
 /** Jobs of a queue whose sizes are known: more than arrive during a burst of some seconds, which must not move the limits. */
 const MAX_SIZES = 512
 
@@ -54,10 +49,7 @@
   /** Adds an accepted job to the sizes of its queue. */
   readonly observe: (queue: string, coreMs: number) => void
   readonly classOf: (queue: string, coreMs: number) => SizeClass
-  /**
-   * Part of the core time of the queue's recent jobs that is in a class, from `MIN_PART` to 1. A class counts with at
-   * most its nominal part of the jobs, so that a burst of large jobs does not raise the share of large jobs.
-   */
+  /** Part of the core time of the queue's recent jobs that is in a class, from `MIN_PART` to 1. */
   readonly partOf: (queue: string, sizeClass: SizeClass) => number
 }
 
@@ -73,15 +65,7 @@
   const at = (quantile: number): number => sorted[Math.ceil(quantile * sorted.length) - 1] ?? 0
   const limits = { medium: at(MEDIUM_QUANTILE), large: at(LARGE_QUANTILE) }
   const sums = { small: 0, medium: 0, large: 0 }
-  const counts = { small: 0, medium: 0, large: 0 }
-  for (const coreMs of sorted) {
-    sums[classWithin(limits, coreMs)] += coreMs
-    counts[classWithin(limits, coreMs)] += 1
-  }
-  const excessOf = (sizeClass: keyof typeof NOMINAL_PARTS): number =>
-    Math.max(1, counts[sizeClass] / (NOMINAL_PARTS[sizeClass] * sorted.length))
-  sums.medium /= excessOf('medium')
-  sums.large /= excessOf('large')
+  for (const coreMs of sorted) sums[classWithin(limits, coreMs)] += coreMs
   const total = Math.max(1, sums.small + sums.medium + sums.large)
   const partOf = (sizeClass: SizeClass): number => Math.max(MIN_PART, sums[sizeClass] / total)
   queue.limits = limits
