--- a/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
+++ b/packages/workflow-scheduling/__tests__/shareOrder.spec.ts
@@ -197,7 +197,7 @@
       const cell = support.createCell([support.worker('w')])
       const order = scheduling.createShareOrder({ expected: cell.expected, weights: new Map() })
       for (let job = 0; job < 30; job += 1) {
-        cell.submit(`j${job}`, [support.step({ estimatedMs: 3_000 - 50 * job })], undefined, job)
+        cell.submit(`j${job}`, [support.step()], undefined, 3_000 - 50 * job)
       }
       const shares: scheduling.PlacementInput['shares'] = (steps, freeCores) =>
         order.standingsOfSteps(steps, cell.state.view, freeCores, 0)
