fix(workflow-scheduling): an item is within its share only if half of it is

A key that has used its share regains a little of it by decay at any time, and a whole item was then started before those of others: with one worker, the next job of a burst went before that of the waiting caller.

--- a/packages/workflow-control/__tests__/termShares.spec.ts
+++ b/packages/workflow-control/__tests__/termShares.spec.ts
@@ -82,6 +82,28 @@
     expect(usage).toBeLessThanOrEqual(assigned)
   })
 
+  it.each([
+    { name: 'first come, first served with the shares off', options: undefined, first: 'r1' },
+    { name: 'a caller that waits behind the burst of another', options: ON, first: 'n' },
+  ])('guards against losing the order of $name', async ({ options, first }) => {
+    const { submit, attach, pass, task } = createHarness(options)
+    const agent = attach('a')
+    agent.report()
+    // The worker has 4 cores; each job needs all of them.
+    submit('r0', 'rennes')
+    await pass(20)
+    submit('r1', 'rennes')
+    await pass(20)
+    submit('n', 'nantes')
+    await pass(20)
+    const runs = [0, 1, 2, 3].map((at) => `r0.0.0.${at}#1`)
+    const { COMPLETED } = protocol.workflow.EndKind
+    agent.report({ ended: runs.map((run, index) => [index + 1, run, COMPLETED] as const) })
+    await pass(100)
+    const assigned = ['r1', 'n'].filter((job) => task(`${job}.0.0.0`)?.phase === 'assigned')
+    expect(assigned).toEqual([first])
+  })
+
   it('guards against a new leader that forgets who has used how much', async () => {
     const { submit, attach, pass, nextTerm, term } = createHarness(ON)
     attach('a').report()
--- a/packages/workflow-scheduling/src/fairShares.ts
+++ b/packages/workflow-scheduling/src/fairShares.ts
@@ -145,6 +145,13 @@
 const WITHIN: ShareStanding = { shareClass: 'within', sinceMs: 0 }
 const ABOVE: ShareStanding = { shareClass: 'above', sinceMs: 0 }
 
+/**
+ * Whether at least half of an item is within a share. Decay leaves a key that has used its share a little of it at any
+ * time, which is no reason to start a whole item. An item larger than the share counts as if it had its size.
+ */
+const fitsShare = (coreMs: number, usedCoreMs: number, shareCoreMs: number): boolean =>
+  shareCoreMs - usedCoreMs >= (1 - TOLERANCE) * (Math.min(coreMs, shareCoreMs) / 2)
+
 const decay = (state: KeyState, nowMs: number): void => {
   const passedMs = Math.max(0, nowMs - state.atMs)
   state.usageCoreMs *= 2 ** (-passedMs / USAGE_HALF_LIFE_MS)
@@ -278,14 +285,18 @@
     return demands
   }
 
-  const standingAt = (demand: Demand, usedCoreMs: number, nowMs: number): ShareStanding => {
-    const { state, shareCoreMs } = demand
+  const standingAt = (
+    { state, shareCoreMs }: Demand,
+    coreMs: number,
+    usedCoreMs: number,
+    nowMs: number,
+  ): ShareStanding => {
     const sinceMs = state.belowFloorSinceMs
     const isStarving = sinceMs !== undefined && nowMs - sinceMs >= STARVATION_BOUND_MS
     if (isStarving && usedCoreMs < FLOOR_SHARE * shareCoreMs) {
       return { shareClass: 'starving', sinceMs }
     }
-    return usedCoreMs < shareCoreMs * (1 - TOLERANCE) ? WITHIN : ABOVE
+    return fitsShare(coreMs, usedCoreMs, shareCoreMs) ? WITHIN : ABOVE
   }
 
   const rank: FairShares['rank'] = (poolName, waiting, supply, nowMs) => {
@@ -321,9 +332,9 @@
       // Started before, for example a suspended task: its work is in the usage already.
       if (demand === undefined || coreMs <= 0) return WITHIN
       const usedCoreMs = used.get(key.text) ?? demand.state.usageCoreMs
-      if (isExpired) return usedCoreMs < demand.shareCoreMs ? WITHIN : ABOVE
+      if (isExpired) return fitsShare(coreMs, usedCoreMs, demand.shareCoreMs) ? WITHIN : ABOVE
       used.set(key.text, usedCoreMs + coreMs)
-      return standingAt(demand, usedCoreMs, nowMs)
+      return standingAt(demand, coreMs, usedCoreMs, nowMs)
     })
   }
 
