--- a/packages/workflow-scheduling/src/fairShareAdmission.ts
+++ b/packages/workflow-scheduling/src/fairShareAdmission.ts
@@ -3,9 +3,10 @@
  * caller, and a caller above its share is refused before the others.
  */
 import * as admission from './admission.js'
-import type * as fairShares from './fairShares.js'
+import * as fairShares from './fairShares.js'
 import * as order from './order.js'
 import type * as shareOrder from './shareOrder.js'
+import * as sizeClasses from './sizeClasses.js'
 import * as submissionTimes from './submissionTimes.js'
 
 /** Age from which positions are no basis for a refusal, in milliseconds: by then capacity may be free. */
@@ -141,9 +142,10 @@
       return isWithin ? { kind: 'accepted' } : decided
     }
     const { objectiveMs } = submissionTimes.timesOf(spec.steps, request.queue)
+    const coreMs = sizeClasses.estimatedCoreMs(spec.steps)
     for (const { own, othersWait, precedence } of standings) {
       if (own === undefined || !othersWait || isServed(own)) continue
-      if (own.usageCoreMs < own.shareCoreMs) continue
+      if (fairShares.fitsShare(coreMs, own.usageCoreMs, own.shareCoreMs)) continue
       const waitMs = backlogMs(own, precedence)
       if (waitMs > order.EXPIRY_FACTOR * objectiveMs) return refuse(request, waitMs, objectiveMs)
     }
--- a/packages/workflow-scheduling/src/fairShares.ts
+++ b/packages/workflow-scheduling/src/fairShares.ts
@@ -149,7 +149,7 @@
  * Whether at least half of an item is within a share. Decay leaves a key that has used its share a little of it at any
  * time, which is no reason to start a whole item. An item larger than the share counts as if it had its size.
  */
-const fitsShare = (coreMs: number, usedCoreMs: number, shareCoreMs: number): boolean =>
+export const fitsShare = (coreMs: number, usedCoreMs: number, shareCoreMs: number): boolean =>
   shareCoreMs - usedCoreMs >= (1 - TOLERANCE) * (Math.min(coreMs, shareCoreMs) / 2)
 
 const decay = (state: KeyState, nowMs: number): void => {
