--- a/packages/experiment/src/fillers/simulation.ts
+++ b/packages/experiment/src/fillers/simulation.ts
@@ -295,7 +295,7 @@
     if (admission.kind === 'accepted') {
       refusedMs.delete(spec.id)
       clock.after(COMMIT_DELAY_MS, () => {
-        apply({ $case: 'submit', value: { spec, queue } })
+        apply({ $case: 'submit', value: { spec, queue, callerDomain: '' } })
         term.dispatch()
       })
       return
--- a/packages/workflow-control/__tests__/admissionFailures.spec.ts
+++ b/packages/workflow-control/__tests__/admissionFailures.spec.ts
@@ -78,6 +78,7 @@
         host: 'h',
         path: '/',
         spec: specOf(id, step),
+        callerDomain: '',
       }),
     /** Fills all processors for a long time. */
     fill: async (): Promise<void> => {
--- a/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
+++ b/packages/workflow-control/__tests__/bestEffortRanks.spec.ts
@@ -27,7 +27,10 @@
 }
 
 /** One worker with CPU for four best-effort tasks, and the ranks of submitted jobs. */
-const createCell = (model?: scheduling.DurationModel) => {
+const createCell = (
+  model?: scheduling.DurationModel,
+  shares?: bestEffortRanks.BestEffortRanksOptions['shares'],
+) => {
   const state = workflowState.createWorkflowState()
   const expected = scheduling.createDurations(model)
   const progress = runProgress.createRunProgress(expected)
@@ -50,6 +53,7 @@
       nowMs += rankingMs
       return [{ description: WORKER, consecutiveFailures: 0 }]
     },
+    shares,
   })
   const submit = (id: string, taskCount: number, ageMs = 0): workflowState.StepView => {
     const steps = [
@@ -63,7 +67,7 @@
       }),
     ]
     const spec = { ...protocol.workflow.JobSpec.fromPartial({ id }), steps }
-    const body = { $case: 'submit' as const, value: { spec, queue: QUEUE } }
+    const body = { $case: 'submit' as const, value: { spec, queue: QUEUE, callerDomain: '' } }
     state.apply({ nowMs: submittedMs - ageMs, body })
     const step = state.view.jobs.get(id)?.occurrences.get(0)?.steps[0]
     if (step === undefined) throw new Error(`no step of ${id}`)
@@ -184,6 +188,28 @@
     expect([first, second].map(ranks.isChosen)).toEqual([true, false])
   })
 
+  it('guards against shares without effect on the ranks, or that are asked with other work', () => {
+    const asked: (readonly scheduling.CompetingJob[])[] = []
+    const { ranks, submit } = createCell(undefined, (_service, jobs) => {
+      asked.push(jobs)
+      return jobs.map(({ job }) => ({
+        shareClass: job.spec.id === 'small' ? 'above' : 'within',
+        sinceMs: 0,
+      }))
+    })
+    const large = submit('large', 40, 100)
+    const small = submit('small', 4)
+    expect(ranks.rankOf(large)).toBeLessThan(ranks.rankOf(small))
+    const works = asked[0]?.map(({ job, unstartedCores, unstartedCoreMs, isExpired }) => {
+      return [job.spec.id, unstartedCores, unstartedCoreMs, isExpired]
+    })
+    // In the order without shares; tasks of 2 cores and 4 s.
+    expect(works).toEqual([
+      ['small', 8, 32_000, false],
+      ['large', 80, 320_000, false],
+    ])
+  })
+
   it('guards against a new ranking at each query for a cancelled job', () => {
     const { ranks, submit, cancel, rankings } = createCell()
     const cancelled = submit('cancelled', 4)
--- a/packages/workflow-control/__tests__/jobAdmission.spec.ts
+++ b/packages/workflow-control/__tests__/jobAdmission.spec.ts
@@ -114,7 +114,10 @@
     const decision = admission.admit({ spec, queue: QUEUE, callerDomain: '' })
     if (decision.kind === 'accepted') {
       refusedIds.delete(id)
-      state.apply({ nowMs, body: { $case: 'submit', value: { spec, queue: QUEUE } } })
+      state.apply({
+        nowMs,
+        body: { $case: 'submit', value: { spec, queue: QUEUE, callerDomain: '' } },
+      })
       return
     }
     refusedIds.add(id)
--- a/packages/workflow-control/__tests__/jobExplanation.spec.ts
+++ b/packages/workflow-control/__tests__/jobExplanation.spec.ts
@@ -34,7 +34,7 @@
     const agent = harness.attach('w')
     agent.report()
     const state = workflowState.createWorkflowState()
-    const value = { spec: SPEC, queue: QUEUE }
+    const value = { spec: SPEC, queue: QUEUE, callerDomain: '' }
     state.apply({ nowMs: Date.now(), body: { $case: 'submit', value } })
     const job = state.view.jobs.get('asked')
     const lines = job && harness.term.explain(job)
@@ -94,7 +94,12 @@
   return { ctx, clock, explain, proposed }
 }
 
-const REQUEST: protocol.workflow.SubmitRequest = { host: 'h', path: '/p/asked', spec: SPEC }
+const REQUEST: protocol.workflow.SubmitRequest = {
+  host: 'h',
+  path: '/p/asked',
+  spec: SPEC,
+  callerDomain: '',
+}
 
 describe('call to explain a job', () => {
   it.each([
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -227,6 +227,8 @@
     control,
     held,
     logs,
+    /** Creates the term of a new leader over the same state. */
+    nextTerm: () => leaderTerm.createLeaderTerm(ctx, term.term + 1),
     work: ctx.work,
     get term() {
       return term
@@ -256,7 +258,10 @@
         maxAttempts,
         slackFactor: 2,
       })
-      state.apply({ nowMs: Date.now(), body: { $case: 'submit', value: { spec, queue } } })
+      state.apply({
+        nowMs: Date.now(),
+        body: { $case: 'submit', value: { spec, queue, callerDomain: '' } },
+      })
       term.dispatch()
     },
     apply: (body: context.CommandBody) => state.apply({ nowMs: Date.now(), body }),
--- a/packages/workflow-control/src/assignmentRounds.ts
+++ b/packages/workflow-control/src/assignmentRounds.ts
@@ -35,6 +35,7 @@
   readonly locality?: scheduling.LocalityWaits
   /** @default `planAssignments` of the scheduling package */
   readonly planAssignments?: typeof scheduling.planAssignments
+  readonly shares?: scheduling.PlacementInput['shares']
   /** Sends the start orders of committed assignments to their workers. */
   readonly start: (accepted: readonly protocol.workflow.Assignment[]) => void
 }
@@ -111,6 +112,7 @@
     mayDisturb: options.mayDisturb,
     waitedMs,
     avoids: options.avoids,
+    shares: options.shares,
     ...(options.locality && { locality: options.locality }),
   })
 
--- a/packages/workflow-control/src/bestEffortRanks.ts
+++ b/packages/workflow-control/src/bestEffortRanks.ts
@@ -2,6 +2,7 @@
 import type * as protocol from '@ebonyweir/protocol'
 import * as scheduling from '@ebonyweir/workflow-scheduling'
 import * as workflowState from '@ebonyweir/workflow-state'
+import * as bestEffortShares from './bestEffortShares.js'
 import * as clocks from './clock.js'
 import type * as workStatistics from './workStatistics.js'
 
@@ -25,6 +26,12 @@
   readonly percentOf: (run: protocol.workflow.TaskRun) => number
   readonly work: Pick<workStatistics.WorkStatistics, 'count' | 'measure'>
   readonly eligibleWorkers: () => readonly scheduling.PlacementWorker[]
+  /** Standings of the competing jobs of a service in the fair shares. @default no fair shares */
+  readonly shares?: (
+    service: string,
+    jobs: readonly scheduling.CompetingJob[],
+    supply: scheduling.PoolSupply,
+  ) => readonly scheduling.ShareStanding[]
 }
 
 /** Jobs of one service that compete for the best-effort supply, as of the newest ranking. */
@@ -116,6 +123,31 @@
     }
   }
 
+  /** Adds the standings in the fair shares to the jobs of a service, which are given in the order of `steps`. */
+  const withShares = (
+    service: string,
+    steps: readonly workflowState.StepView[],
+    jobs: readonly scheduling.BestEffortJob[],
+    supply: number,
+  ): readonly scheduling.BestEffortJob[] => {
+    if (options.shares === undefined) return jobs
+    const competing = steps.flatMap((step, index) => {
+      const job = jobs[index]
+      return job === undefined ? [] : [{ step, job }]
+    })
+    // Within a key, the order without shares stays: one by due time would make all of its jobs late under overload.
+    const { ranks: unshared } = scheduling.rankBestEffortJobs(jobs, supply, chosen)
+    competing.sort((a, b) => (unshared.get(a.job.key) ?? 0) - (unshared.get(b.job.key) ?? 0))
+    const works = competing.map(({ step, job }) => ({
+      ...bestEffortShares.unstartedWorkOf(stepsOf(step), expected),
+      job: step.job,
+      isExpired: job.chainMs > job.untilExpiryMs,
+    }))
+    const cores = bestEffortShares.supplyOf(steps.map(stepsOf), supply)
+    const standings = options.shares(service, works, cores)
+    return competing.map(({ job }, index) => ({ ...job, share: standings[index] }))
+  }
+
   /** One ready or running best-effort step of each occurrence, by service and occurrence. */
   const competingSteps = (): ReadonlyMap<string, ReadonlyMap<string, workflowState.StepView>> => {
     const byService = new Map<string, Map<string, workflowState.StepView>>()
@@ -150,7 +182,8 @@
       const samples = new Map([...steps.values()].map((step) => [step.spec.image, step]))
       const supply = supplyOf(service)(input, [...samples.values()].slice(0, MAX_SUPPLY_IMAGES))
       const jobs = [...steps.values()].map((step) => jobOf(step, atMs))
-      const order = scheduling.rankBestEffortJobs(jobs, supply, chosen)
+      const shared = withShares(service, [...steps.values()], jobs, supply)
+      const order = scheduling.rankBestEffortJobs(shared, supply, chosen)
       for (const [key, position] of order.ranks) next.set(key, position)
       for (const key of order.chosen) nextChosen.add(key)
       nextLoads.set(service, { atMs: startedMs, jobs, chosen: order.chosen, supply })
--- a/packages/workflow-control/src/calls.ts
+++ b/packages/workflow-control/src/calls.ts
@@ -112,19 +112,17 @@
   /** Number of pending commits of each job that is submitted. */
   const pendingSubmissions = new Map<string, number>()
 
-  const commitSubmission = async (
-    spec: protocol.workflow.JobSpec,
-    queue: protocol.workflow.Queue,
-  ): Promise<CallReply> => {
+  const commitSubmission = async (request: scheduling.AdmissionRequest): Promise<CallReply> => {
+    const { spec } = request
     pendingSubmissions.set(spec.id, (pendingSubmissions.get(spec.id) ?? 0) + 1)
-    const answer = await commit({ $case: 'submit', value: { spec, queue } })
+    const answer = await commit({ $case: 'submit', value: request })
     const left = (pendingSubmissions.get(spec.id) ?? 0) - 1
     if (left > 0) pendingSubmissions.set(spec.id, left)
     else pendingSubmissions.delete(spec.id)
     return answer
   }
 
-  const submit: CallHandlers['submit'] = async ({ host, path, spec }) => {
+  const submit: CallHandlers['submit'] = async ({ host, path, spec, callerDomain }) => {
     if (ctx.leadingTerm() === undefined) return notLeading()
     if (ctx.view.configuration === undefined) return reply(CallOutcome.UNCONFIGURED)
     if (spec === undefined) return reply(CallOutcome.INVALID, { detail: 'the job is missing' })
@@ -134,16 +132,17 @@
     if (queue === undefined) return reply(CallOutcome.NO_QUEUE)
     const checked = workflowState.checkJobSpec(spec)
     if (checked.isErr()) return reply(CallOutcome.INVALID, { detail: checked.error })
+    const request = { spec, queue, callerDomain }
     // Another entry may have submitted the job, and a refusal would be false once that commit succeeds.
     if (!pendingSubmissions.has(spec.id)) {
-      const admission = admit({ spec, queue, callerDomain: '' })
+      const admission = admit(request)
       if (admission.kind === 'refused') {
         logRefusal(spec, queue, admission)
         const { retryAfterMs, detail } = admission
         return reply(CallOutcome.OVERLOADED, { retryAfterMs: Math.ceil(retryAfterMs), detail })
       }
     }
-    const answer = await commitSubmission(spec, queue)
+    const answer = await commitSubmission(request)
     const { version } = ctx.view.configuration
     logger.info('job submitted', {
       job: spec.id,
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -23,6 +23,7 @@
 import * as runProgress from './runProgress.js'
 import * as runStops from './runStops.js'
 import * as termPolicies from './termPolicies.js'
+import * as termShares from './termShares.js'
 import * as waitMonitors from './waitMonitor.js'
 import * as schedulingOptions from './schedulingOptions.js'
 import * as sessions from './workerSession.js'
@@ -92,6 +93,8 @@
   readonly sessionCount: () => number
   /** What the model of task durations has learned in this term. */
   readonly learnedDurations: () => scheduling.LearnedCounts
+  /** Fair shares of the term; undefined if they are off. */
+  readonly shares: termShares.TermShares | undefined
   readonly stop: () => void
 }
 
@@ -108,6 +111,12 @@
   return kind === EndKind.FAILED || wasStalled ? 'failed' : 'interrupted'
 }
 
+const withShares = (
+  policy: scheduling.AdmissionPolicy,
+  shares: termShares.TermShares,
+): scheduling.AdmissionPolicy =>
+  scheduling.createFairShareAdmission({ policy, shares: () => shares })
+
 export const createLeaderTerm = (
   ctx: context.TermContext,
   term: number,
@@ -141,6 +150,11 @@
   const durationLog = durationLogs.createDurationLog({ logger, durations, nowMs })
   const slowWorkers = durationModel === 'quantile' ? scheduling.createSlowWorkers() : undefined
   const progress = runProgress.createRunProgress(durations)
+  const shares = termShares.createTermShares({
+    ctx,
+    expected: durations,
+    timeOfDayMs: clock.timeOfDayMs,
+  })
   const disturbance = policies.createInterferenceModel()
   const endCommits = pendingEndCommits.createPendingEndCommits()
   const proposeBatched = proposalBatch.createProposalBatch(ctx)
@@ -656,6 +670,7 @@
     const repeated = ctx.leadingTerm() !== term
     for (const { task, worker } of accepted) {
       const active = task && activeRun(task)
+      if (active !== undefined) shares?.recordStart(active)
       if (worker === undefined || active?.step.job.phase !== 'active') continue
       const key = workflowState.workerKey(worker)
       byWorker.set(key, [...(byWorker.get(key) ?? []), startOrder(active, repeated)])
@@ -672,11 +687,13 @@
     percentOf: progress.percentOf,
     work: ctx.work,
     eligibleWorkers,
+    shares: shares?.standingsOfJobs,
   })
 
   const { admissionPolicy } = ctx.options.scheduling ?? schedulingOptions.DEFAULT_SCHEDULING_OPTIONS
+  const basePolicy = jobAdmission.createAdmissionPolicy(admissionPolicy)
   const admission = jobAdmission.createJobAdmission({
-    policy: jobAdmission.createAdmissionPolicy(admissionPolicy),
+    policy: shares === undefined ? basePolicy : withShares(basePolicy, shares),
     usesLoad: admissionPolicy !== 'accept-all',
     view,
     expected: durations,
@@ -713,6 +730,7 @@
     avoids: (task, worker) => failedWorkers.get(workflowState.taskKey(task))?.has(worker) ?? false,
     locality: localityDecisions.createLocalityDecisions({ ctx, durations, progress }),
     planAssignments: policies.planAssignments,
+    shares: shares?.standingsOfSteps,
     start: sendStarts,
   })
 
@@ -768,6 +786,7 @@
     },
     sessionCount: () => byAgent.size,
     learnedDurations: durations.learned,
+    shares,
     stop: () => {
       rounds.stop()
       cancelSweeps()
--- a/packages/workflow-control/src/workStatistics.ts
+++ b/packages/workflow-control/src/workStatistics.ts
@@ -17,6 +17,7 @@
   | 'localityRemote'
   | 'localityWait'
   | 'localityWaitedMs'
+  | 'shareDeferrals'
 
 /**
  * Parts of the work: the leader's planning, handling of agents' reports and sweeps; sending orders to agents; receiving and
@@ -63,6 +64,7 @@
     localityRemote: 0,
     localityWait: 0,
     localityWaitedMs: 0,
+    shareDeferrals: 0,
   }
   const spentMs = {
     plan: 0,
--- a/packages/workflow-control/src/workflowControl.ts
+++ b/packages/workflow-control/src/workflowControl.ts
@@ -38,6 +38,9 @@
 /** Bytes after which a snapshot is taken, far below the smallest disk. */
 const SNAPSHOT_EVERY_BYTES = 4 * 1024 * 1024
 
+/** Limit on the keys of the fair shares in the metrics, which bounds the size of a scrape. */
+const MAX_SHARE_KEYS = 32
+
 /** Why the role did not start or cannot continue; `detail` is a human-readable description. */
 export interface ControlError {
   readonly reason: 'data-folder' | 'listen' | 'disk' | 'invariant'
@@ -67,6 +70,8 @@
   readonly attachedWorkers: number
   /** What the leader's model of task durations has learned; zero on other replicas. */
   readonly learnedDurations: scheduling.LearnedCounts
+  /** Usage in core seconds of the keys with the largest usage in the fair shares; empty unless this replica leads. */
+  readonly shareUsageCoreS: ReadonlyMap<string, number>
   readonly ends: endMonitors.EndCounts
   readonly admissions: admissionCounters.AdmissionCounts
   /** Work done since the start of the process. */
@@ -296,6 +301,7 @@
         readySteps: state.view.readySteps.size,
         attachedWorkers: term?.sessionCount() ?? 0,
         learnedDurations: term?.learnedDurations() ?? { images: 0, observations: 0 },
+        shareUsageCoreS: term?.shares?.usageCoreS(MAX_SHARE_KEYS) ?? new Map(),
         ends: endCounter,
         admissions: admissionCounter,
         work: work.totals(),
--- a/packages/workflow-scheduling/src/admission.ts
+++ b/packages/workflow-scheduling/src/admission.ts
@@ -25,7 +25,11 @@
 }
 
 export type AdmissionReason =
-  'too-many-open-jobs' | 'no-capacity-in-time' | 'queue-delay' | 'concurrency-limit'
+  | 'too-many-open-jobs'
+  | 'no-capacity-in-time'
+  | 'queue-delay'
+  | 'concurrency-limit'
+  | 'share-exceeded'
 
 /** Inputs of a refusal, for the log line. */
 export interface AdmissionInputs {
--- a/packages/workflow-scheduling/src/bestEffortRanking.ts
+++ b/packages/workflow-scheduling/src/bestEffortRanking.ts
@@ -3,6 +3,8 @@
  * make all jobs late, so the jobs that can meet their objectives together come first, one after the other.
  */
 
+import type * as fairShares from './fairShares.js'
+
 /** Remaining best-effort work of one occurrence of a job. */
 export interface BestEffortJob {
   /** Key of the occurrence. */
@@ -17,6 +19,8 @@
   readonly untilDueMs: number
   /** Time left until its value has expired. */
   readonly untilExpiryMs: number
+  /** Standing of its key in the fair shares. @default within its share */
+  readonly share?: fairShares.ShareStanding
 }
 
 /** Part of a job's value that does not depend on its size, in jobs of the mean size. */
@@ -87,9 +91,14 @@
   let parallelism = 0
   for (const job of candidates) {
     const isKept = alreadySelected.has(job.key) && isWithinGrace(job)
-    const share = isKept ? KEPT_SUPPLY_SHARE : PLANNED_SUPPLY_SHARE
+    const isStarving = job.share?.shareClass === 'starving'
+    const share = isKept || isStarving ? KEPT_SUPPLY_SHARE : PLANNED_SUPPLY_SHARE
     const planned = Math.max(MIN_SUPPLY, supply * share)
-    if (selected.length > 0 && parallelism + parallelismOf(job) > planned) continue
+    if (selected.length > 0 && parallelism + parallelismOf(job) > planned) {
+      // The supply that selected jobs leave goes to the starving job, not to later ones that need less at a time.
+      if (isStarving && !isKept) break
+      continue
+    }
     parallelism += parallelismOf(job)
     selected.push(job)
   }
@@ -102,7 +111,23 @@
   return isExpired(job) ? 0 : LATE_VALUE_SHARE
 }
 
-/** Jobs that still earn something, by expected value per remaining work, with a preference for those already selected. */
+/** A selected job keeps its place, also before starving ones: the supply that it has used would be wasted. */
+const SHARE_ORDER: Readonly<Record<fairShares.ShareClass | 'selected', number>> = {
+  selected: 0,
+  starving: 1,
+  within: 2,
+  above: 3,
+}
+
+const shareOrderOf = (job: BestEffortJob, isSelected: boolean): number => {
+  if (job.share === undefined) return SHARE_ORDER.within
+  return isSelected && isWithinGrace(job) ? SHARE_ORDER.selected : SHARE_ORDER[job.share.shareClass]
+}
+
+/**
+ * Jobs that still earn something, by their standing in the fair shares, then by expected value per remaining work, with a
+ * preference for those already selected.
+ */
 const byEarnings = (
   jobs: readonly BestEffortJob[],
   alreadySelected: ReadonlySet<string>,
@@ -115,7 +140,11 @@
     if (factor > 0) densities.set(job, (factor * valueOf(job)) / Math.max(1, job.remainingMs))
   }
   return [...densities.keys()].sort(
-    (a, b) => (densities.get(b) ?? 0) - (densities.get(a) ?? 0) || byDue(a, b),
+    (a, b) =>
+      shareOrderOf(a, alreadySelected.has(a.key)) - shareOrderOf(b, alreadySelected.has(b.key)) ||
+      (a.share?.sinceMs ?? 0) - (b.share?.sinceMs ?? 0) ||
+      (densities.get(b) ?? 0) - (densities.get(a) ?? 0) ||
+      byDue(a, b),
   )
 }
 
--- a/packages/workflow-scheduling/src/draftJob.ts
+++ b/packages/workflow-scheduling/src/draftJob.ts
@@ -12,6 +12,7 @@
   const job: workflowState.JobView = {
     spec,
     queue,
+    callerDomain: '',
     phase: 'active',
     submittedMs,
     endedMs: 0,
--- a/packages/workflow-scheduling/src/explainPlacement.ts
+++ b/packages/workflow-scheduling/src/explainPlacement.ts
@@ -38,7 +38,7 @@
   nowMs: number,
 ): workflowState.JobView | undefined => {
   const state = workflowState.createWorkflowState()
-  state.apply({ nowMs, body: { $case: 'submit', value: { spec, queue } } })
+  state.apply({ nowMs, body: { $case: 'submit', value: { spec, queue, callerDomain: '' } } })
   return state.view.jobs.get(spec.id)
 }
 
@@ -58,6 +58,8 @@
     view: { ...input.view, readySteps: new Set([...input.view.readySteps, ...ready]) },
     disturbance: { ...input.disturbance, beginExploration: () => undefined },
     maxAssignments: Number.POSITIVE_INFINITY,
+    // A query of the fair shares records how long their keys have starved.
+    shares: undefined,
     ...(locality && {
       locality: localityWaits.createLocalityWaits({
         remoteFactor: locality.remoteFactor,
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -6,6 +6,8 @@
 import * as localityPlan from './localityPlan.js'
 import type * as localityWaits from './localityWaits.js'
 import * as order from './order.js'
+import type * as fairShares from './fairShares.js'
+import type * as shareOrder from './shareOrder.js'
 import * as placementFailures from './placementFailures.js'
 import * as workerCost from './workerCost.js'
 import * as workerQueue from './workerQueue.js'
@@ -27,6 +29,11 @@
   readonly waitedMs: (step: workflowState.StepView) => number
   /** Waits for workers near the data of a step. @default no task waits, and a remote worker has a fixed cost */
   readonly locality?: localityWaits.LocalityWaits
+  /** Standings of steps that reserve CPU, given in the order without shares. @default no fair shares */
+  readonly shares?: (
+    steps: readonly shareOrder.UrgentStep[],
+    freeCores: (service: string) => number,
+  ) => ReadonlyMap<workflowState.StepView, fairShares.ShareStanding>
 }
 
 export interface Plan {
@@ -187,16 +194,49 @@
   return false
 }
 
+const MILLIS_PER_CORE = 1_000
+
+/** Input on which the order of the steps depends. */
+export type OrderInput = candidates.BestEffortInput &
+  Pick<PlacementInput, 'skipBestEffort' | 'expected' | 'nowMs' | 'shares'>
+
+/** Urgency of the ready steps that reserve CPU, with their standings in the fair shares. */
+const urgenciesOf = (
+  input: OrderInput,
+  allCandidates: () => readonly candidates.CandidateWorker[],
+): ReadonlyMap<workflowState.StepView, order.Urgency> => {
+  const steps = [...input.view.readySteps]
+    .filter(({ spec }) => !spec.filling)
+    .map((step) => {
+      const urgency = order.urgencyOf(step, input.expected, input.nowMs)
+      return { step, urgency, slackMs: urgency.latestStartMs - input.nowMs }
+    })
+  const urgencies = new Map(steps.map(({ step, urgency }) => [step, urgency]))
+  if (input.shares === undefined) return urgencies
+  const freeCores = (service: string): number =>
+    allCandidates()
+      .filter(({ worker }) => worker.description.service === service)
+      .reduce((sum, { cpuMillis }) => sum + Math.max(0, cpuMillis) / MILLIS_PER_CORE, 0)
+  const ordered = steps.sort((a, b) => order.compareUrgency(a.urgency, b.urgency))
+  for (const [step, share] of input.shares(ordered, freeCores)) {
+    const urgency = urgencies.get(step)
+    if (urgency !== undefined) urgencies.set(step, { ...urgency, share })
+  }
+  return urgencies
+}
+
 /** Ready steps in the order of their placement: steps that reserve CPU by urgency, then best-effort steps by rank. */
 export const orderSteps = (
-  input: Pick<PlacementInput, 'view' | 'skipBestEffort' | 'fillerRank' | 'expected' | 'nowMs'>,
-): readonly workflowState.StepView[] =>
-  [...input.view.readySteps]
+  input: OrderInput,
+  allCandidates = (): readonly candidates.CandidateWorker[] => candidates.createCandidates(input),
+): readonly workflowState.StepView[] => {
+  const urgencies = urgenciesOf(input, allCandidates)
+  return [...input.view.readySteps]
     .filter(({ spec }) => input.skipBestEffort !== true || !spec.filling)
     .map((step) => ({
       step,
       rank: step.spec.filling ? input.fillerRank(step) : undefined,
-      urgency: step.spec.filling ? undefined : order.urgencyOf(step, input.expected, input.nowMs),
+      urgency: urgencies.get(step),
     }))
     .sort((a, b) => {
       if (a.rank !== undefined && b.rank !== undefined) return a.rank - b.rank
@@ -204,6 +244,7 @@
       return order.compareUrgency(a.urgency, b.urgency)
     })
     .map(({ step }) => step)
+}
 
 /** Plans assignments for the ready steps: steps that reserve CPU by urgency, then best-effort steps by rank. */
 export const planAssignments = (input: PlacementInput): Plan => {
@@ -212,7 +253,7 @@
     return { workers: [], assignments: [], tasksLookedAt: 0, workersLookedAt: 0 }
   }
   const allCandidates = candidates.createCandidates(input)
-  const ordered = orderSteps(input)
+  const ordered = orderSteps(input, () => allCandidates)
   const assignments: protocol.workflow.Assignment[] = []
   let tasksLookedAt = 0
   let workersLookedAt = 0
