feat(stand-ins): relays on any loopback address that know the client's address

The soak test of platform/ puts a relay in front of programs that have one loopback address each, and tells them apart by the address of a connection. The relay listened on 127.0.0.1 only and knew no more than the ports.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,6 @@
 /** Fakes of external systems, test systems of real processes, observer records, and the audit. */
 export * as audit from './audit.js'
+export * as auditTypes from './auditTypes.js'
 export * as echo from './echo.js'
 export * as fakeCaller from './fakeCaller.js'
 export * as fakeEndpoint from './fakeEndpoint.js'
--- a/packages/stand-ins/src/json.ts
+++ b/packages/stand-ins/src/json.ts
@@ -24,10 +24,10 @@
 }
 
 /** Listens on a loopback port, 0 for a free one. Resolves to the port. */
-export const listen = (server: net.Server, port: number): Promise<number> =>
+export const listen = (server: net.Server, port: number, host = '127.0.0.1'): Promise<number> =>
   new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, '127.0.0.1', () => {
+    server.listen(port, host, () => {
       resolve((server.address() as net.AddressInfo).port)
     })
   })
--- a/packages/stand-ins/src/managedProcess.ts
+++ b/packages/stand-ins/src/managedProcess.ts
@@ -163,8 +163,10 @@
   }
 }
 
-/** Ports of both ends of a loopback connection. */
+/** Both ends of a loopback connection. */
 export interface Connection {
+  /** Address of the client; absent if only the ports are known. */
+  readonly clientHost?: string
   readonly clientPort: number
   readonly serverPort: number
 }
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -24,7 +24,9 @@
   readonly target: string
   /** Port to listen on, 0 for a free one. @default 0 */
   readonly port?: number
-  /** Identifies the client of a connection by the ports of both ends, e.g. as process id. @default 0 */
+  /** Loopback address to listen on. @default '127.0.0.1' */
+  readonly host?: string
+  /** Identifies the client of a connection by its ends, e.g. as process id. @default 0 */
   readonly clientOf?: (connection: managed.Connection) => number | undefined
 }
 
@@ -137,7 +139,11 @@
 
   const accept = (client: net.Socket) => {
     const [host, port] = target.split(':')
-    const connection = { clientPort: client.remotePort ?? 0, serverPort: client.localPort ?? 0 }
+    const connection = {
+      clientHost: client.remoteAddress ?? '',
+      clientPort: client.remotePort ?? 0,
+      serverPort: client.localPort ?? 0,
+    }
     let knownClient: number | undefined
     // The kernel's connection table is not read atomically, so a single read can miss an entry.
     const lookUpClient = () => {
@@ -187,10 +193,11 @@
   }
 
   const server = net.createServer(accept)
-  const bound = await json.listen(server, options.port ?? 0)
+  const listenHost = options.host ?? '127.0.0.1'
+  const bound = await json.listen(server, options.port ?? 0, listenHost)
   return {
     port: bound,
-    address: `127.0.0.1:${bound}`,
+    address: `${listenHost}:${bound}`,
     setMode: (mode) => {
       newConnectionMode = mode.scope === 'old' ? { action: 'pass' } : mode
       for (const relayed of relayedConnections) applyMode(relayed, mode)
