--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,6 +12,7 @@
         project: [
           './packages/*/tsconfig.json',
           './platform/tsconfig.json',
+          './platform/soak/tsconfig.json',
           './tsconfig.tests.json',
         ],
         tsconfigRootDir: import.meta.dirname,
