--- a/packages/workflow-scheduling/src/order.ts
+++ b/packages/workflow-scheduling/src/order.ts
@@ -51,25 +51,54 @@
     ? job.spec.firstDueMs + occurrence * job.spec.intervalMs
     : job.submittedMs
 
-/** Urgency of a step at `nowMs`, a wall-clock time on the clock of the job's submission. */
-export const urgencyOf = (
-  step: workflowState.StepView,
+/** Times of an occurrence that all of its steps share. */
+interface OccurrenceTimes {
+  readonly objectiveMs: number
+  /** Remaining critical path from each step to the end. */
+  readonly chainsMs: readonly number[]
+}
+
+/**
+ * Urgencies of steps at `nowMs`, a wall-clock time on the clock of the jobs' submission. The critical paths of an occurrence
+ * are computed once for all of its steps: for each step anew, the ready steps of a few large jobs took a second.
+ */
+export const createUrgencies = (
   expected: durations.Durations,
   nowMs: number,
-): Urgency => {
-  const { job } = step
-  const steps = job.occurrences.get(step.occurrence)?.steps ?? []
-  const objective = objectiveMs(steps, job.queue, expected)
-  const startMs = dueMs(job, step.occurrence)
-  const chain = chainsToEnd(steps, expected.stepRemainingMs)[step.index] ?? 0
-  const latestStartMs = startMs + objective - chain
-  const outlook = (): Outlook => {
-    if (step.spec.lasting || nowMs <= latestStartMs) return 'in-time'
-    return nowMs - startMs + chain > EXPIRY_FACTOR * objective ? 'expired' : 'late'
+): ((step: workflowState.StepView) => Urgency) => {
+  const known = new Map<readonly workflowState.StepView[], OccurrenceTimes>()
+
+  const timesOf = ({ job, occurrence }: workflowState.StepView): OccurrenceTimes => {
+    const steps = job.occurrences.get(occurrence)?.steps ?? []
+    const times = known.get(steps) ?? {
+      objectiveMs: objectiveMs(steps, job.queue, expected),
+      chainsMs: chainsToEnd(steps, expected.stepRemainingMs),
+    }
+    known.set(steps, times)
+    return times
+  }
+
+  return (step) => {
+    const { job } = step
+    const { objectiveMs: objective, chainsMs } = timesOf(step)
+    const startMs = dueMs(job, step.occurrence)
+    const chain = chainsMs[step.index] ?? 0
+    const latestStartMs = startMs + objective - chain
+    const outlook = (): Outlook => {
+      if (step.spec.lasting || nowMs <= latestStartMs) return 'in-time'
+      return nowMs - startMs + chain > EXPIRY_FACTOR * objective ? 'expired' : 'late'
+    }
+    return { priority: job.queue.priority, outlook: outlook(), latestStartMs }
   }
-  return { priority: job.queue.priority, outlook: outlook(), latestStartMs }
 }
 
+/** Urgency of one step; see `createUrgencies`. */
+export const urgencyOf = (
+  step: workflowState.StepView,
+  expected: durations.Durations,
+  nowMs: number,
+): Urgency => createUrgencies(expected, nowMs)(step)
+
 const isStarving = ({ share }: Urgency): boolean => share?.shareClass === 'starving'
 
 const isAbove = ({ share }: Urgency): boolean => share?.shareClass === 'above'
--- a/packages/workflow-scheduling/src/placement.ts
+++ b/packages/workflow-scheduling/src/placement.ts
@@ -205,10 +205,11 @@
   input: OrderInput,
   allCandidates: () => readonly candidates.CandidateWorker[],
 ): ReadonlyMap<workflowState.StepView, order.Urgency> => {
+  const urgencyOf = order.createUrgencies(input.expected, input.nowMs)
   const steps = [...input.view.readySteps]
     .filter(({ spec }) => !spec.filling)
     .map((step) => {
-      const urgency = order.urgencyOf(step, input.expected, input.nowMs)
+      const urgency = urgencyOf(step)
       return { step, urgency, slackMs: urgency.latestStartMs - input.nowMs }
     })
   const urgencies = new Map(steps.map(({ step, urgency }) => [step, urgency]))
