--- a/packages/cli/src/reference.ts
+++ b/packages/cli/src/reference.ts
@@ -36,6 +36,11 @@
     text: 'Read by `ebonyweird --settings FILE`.',
     fields: settings.agentFields,
   },
+  {
+    title: 'Optional parts of job scheduling',
+    text: 'Read by a control replica that serves graph jobs, in its own settings file. All parts are off by default.',
+    fields: settings.schedulingFields,
+  },
   {
     title: 'Configuration of the command-line tool (`ebonyweir.toml`)',
     text: 'Optional; `--control`, `--entry`, `--by` and the environment variables precede it.',
