--- a/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
+++ b/packages/workflow-scheduling/__tests__/localityPlacement.spec.ts
@@ -426,7 +426,7 @@
           )
           expect(firstPlan.length).toBeGreaterThanOrEqual(startable)
           // The busy near worker never becomes free, so all tasks start remotely by the bound.
-          const boundMs = Math.min((remoteFactor - 1) * 1_000, 5_000, 2_300)
+          const boundMs = Math.min((remoteFactor - 1) * 1_000, 2_000, 2_300)
           let startedCount = firstPlan.length
           for (let nowMs = intervalMs; nowMs < boundMs; nowMs += intervalMs)
             startedCount += cell.planAt(nowMs).length
--- a/packages/workflow-scheduling/__tests__/localityWait.spec.ts
+++ b/packages/workflow-scheduling/__tests__/localityWait.spec.ts
@@ -84,12 +84,12 @@
         delayedSinceMs: NOW_MS - 1_000,
         skippedOffers: 10,
       },
-      decided: { expected: 2_000, never: 'remote', fixed: 'remote', skipped: 'remote' },
+      decided: { expected: 1_000, never: 'remote', fixed: 'remote', skipped: 'remote' },
     },
     {
       name: 'the loss and the slack exceed the limit of a step',
       fields: { lossMs: 60_000, slackMs: 60_000, waitingSinceMs: NOW_MS - 1_000 },
-      decided: { expected: 4_000, never: 'remote', fixed: 1_000, skipped: Infinity },
+      decided: { expected: 1_000, never: 'remote', fixed: 1_000, skipped: Infinity },
     },
     {
       name: 'a remote run loses nothing',
@@ -123,7 +123,7 @@
         const tolerance = 1e-6
         expect(decision.untilMs).toBeLessThanOrEqual(sinceMs + input.lossMs + tolerance)
         expect(decision.untilMs).toBeLessThanOrEqual(NOW_MS + input.slackMs + tolerance)
-        expect(decision.untilMs).toBeLessThanOrEqual(sinceMs + 5_000 + tolerance)
+        expect(decision.untilMs).toBeLessThanOrEqual(sinceMs + 2_000 + tolerance)
         expect(decision.untilMs).toBeGreaterThan(NOW_MS)
       }),
     )
--- a/packages/workflow-scheduling/src/localityWait.ts
+++ b/packages/workflow-scheduling/src/localityWait.ts
@@ -3,8 +3,11 @@
  * the state that a policy needs is part of its input.
  */
 
-/** Limit on the total wait of one step, in milliseconds: a longer wait relies on estimates that are no longer current. */
-export const MAX_LOCALITY_WAIT_MS = 5_000
+/**
+ * Longest wait of a step in total, in milliseconds. A job that has nothing running for 3 s although there is capacity counts
+ * as forgotten, and a round may come 0.4 s after the end of a wait.
+ */
+export const MAX_LOCALITY_WAIT_MS = 2_000
 
 /** Shortest wait, in milliseconds: the resolution of the timers, so that a wait never causes a round at once. */
 const MIN_LOCALITY_WAIT_MS = 1
