--- a/packages/workflow-scheduling/src/fairShareAdmission.ts
+++ b/packages/workflow-scheduling/src/fairShareAdmission.ts
@@ -2,6 +2,7 @@
  * Admission with fair shares: a job whose caller keeps within its share is not refused because of the burst of another
  * caller, and a caller above its share is refused before the others.
  */
+import * as crypto from 'node:crypto'
 import * as admission from './admission.js'
 import * as fairShares from './fairShares.js'
 import * as order from './order.js'
@@ -39,21 +40,11 @@
   readonly shares: () => TermShares | undefined
 }
 
-/** Constants of FNV-1a with 32 bits, and a factor that mixes its low bits, as ids may differ in their last digit only. */
-const FNV_OFFSET = 0x811c9dc5
-const FNV_PRIME = 0x01000193
-const MIX_FACTOR = 0x2c1b3c6d
 const HASH_RANGE = 2 ** 32
 
 /** Number from 0 to 1 that depends on the text only, so that the decision needs no random source. */
-const fractionOf = (text: string): number => {
-  let hash = FNV_OFFSET
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME)
-  }
-  const mixed = Math.imul(hash ^ (hash >>> 15), MIX_FACTOR)
-  return (mixed >>> 0) / HASH_RANGE
-}
+const fractionOf = (text: string): number =>
+  crypto.createHash('sha256').update(text).digest().readUInt32BE(0) / HASH_RANGE
 
 /** Whether the pool can serve all waiting work of a key. */
 const isServed = ({ usageCoreMs, waitingCoreMs, shareCoreMs }: fairShares.KeyPosition): boolean =>
