--- a/review/harness-3/users.mjs
+++ b/review/harness-3/users.mjs
@@ -108,8 +108,8 @@
     turn += 1
     const address = controls[turn % controls.length]
     const headers = { 'content-type': 'application/json' }
-    const text =
-      body === undefined ? undefined : typeof body === 'string' ? body : JSON.stringify(body)
+    const isRaw = body === undefined || typeof body === 'string' || body instanceof Uint8Array
+    const text = isRaw ? body : JSON.stringify(body)
     const answer = await call({ address, method, path, headers, body: text, timeoutMs })
     record(`operator ${method} ${path} at ${address} answered ${answer.status}`)
     return answer
