--- a/review/harness-3/worker.mjs
+++ b/review/harness-3/worker.mjs
@@ -19,7 +19,8 @@
 }
 
 /**
- * @param behaviourOf what a run of a command does: `{ ms, how, save }`; `ms` may be infinite, `save` is the interval of checkpoints
+ * @param behaviourOf what a run of a command does: `{ ms, how, save, saveLength }`; `ms` may be infinite, `save` is the interval of
+ *   checkpoints, `saveLength` their least length
  * @param claimOf claim of a task of a job, known to the test: `{ Cpu, MemMb, Gpu }`
  * @param gangOf number of members of the gang of a task; 0 for none
  */
@@ -92,7 +93,9 @@
     if (!behaviour.save || sinceMs === undefined) return entry.from
     const worked = Math.min(behaviour.ms, workMs + (now() - sinceMs))
     const saved = Math.floor(worked / behaviour.save) * behaviour.save
-    return saved === 0 ? entry.from : `${saved}/${entry.task}`
+    return saved === 0
+      ? entry.from
+      : `${saved}/${entry.task}`.padEnd(behaviour.saveLength ?? 0, '.')
   }
 
   const beginWork = (of, entry) => {
@@ -196,7 +199,7 @@
     of.highest.set(task, run)
     of.running.set(key, entry)
     runs.push(entry)
-    record(`${id} run ${key} started${from === '' ? '' : ` from ${from}`}`)
+    record(`${id} run ${key} started${from === '' ? '' : ` from ${from.slice(0, 40)}`}`)
     const size = gangOf(task)
     if (size > 0) joinGang(of, entry, size)
     else beginWork(of, entry)
