--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -1,8 +1,10 @@
 // Rule TWICE: more than 500 ends wait at one worker while its agent is killed once and restarted.
 import * as timersPromises from 'node:timers/promises'
-import * as checks from '../harness-3/checks.mjs'
-import * as frame from '../harness-3/play.mjs'
-import * as users from '../harness-3/users.mjs'
+import * as checks from './lib/checks.mjs'
+import * as frame from './lib/play.mjs'
+import * as users from './lib/users.mjs'
+
+const withTrouble = process.env.TROUBLE !== '0'
 
 const JOBS = 4
 const TASKS = 400
@@ -48,7 +50,7 @@
     const ended = timersPromises
       .setTimeout(100)
       .then(() => workers.forEach((worker) => worker.finishWithin(SPREAD_MS)))
-    if (frame.withTrouble) {
+    if (withTrouble) {
       record(`SIGKILL of ${system.agents[0]}`)
       await system.kill(system.agents[0], DOWN_MS)
     }
--- a/review/harness-3/play.mjs
+++ b/review/11/lib/play.mjs
@@ -10,8 +10,6 @@
 
 const LIMIT_MS = 115_000
 
-export const withTrouble = process.env.TROUBLE !== '0'
-
 /** Thrown where the case could not run, which says nothing about the rule. */
 export class CannotRun extends Error {}
 
@@ -33,7 +31,7 @@
   const startMs = performance.now()
   const record = (text) =>
     lines.push(`${((performance.now() - startMs) / 1_000).toFixed(3).padStart(8)} ${text}`)
-  const file = path.join(folder, withTrouble ? 'record.txt' : 'record-0.txt')
+  const file = path.join(folder, 'record.txt')
   let system
   const standIns = []
 
--- a/review/harness-3/system.mjs
+++ b/review/11/lib/system.mjs
@@ -9,7 +9,7 @@
 import * as timersPromises from 'node:timers/promises'
 import * as url from 'node:url'
 
-export const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../..')
+export const ROOT = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '../../..')
 
 export const ZONES = ['rennes', 'brest', 'vannes']
 
