fix(workflow-agent): a run is absent only from a complete list

Cause: a worker lists its first 500 ends and the next ones once these are acknowledged. The agent took a run that was neither active nor among the listed ends for one that never ran, and reported it as rejected; the leader then assigned the next run.

Change: `ListedRuns` answers for one run with running, ended, absent or unknown, and says absent only of a list that contains all ends. The agent's table reads lists through it alone. A rejection after a refused start, a stop or a withdrawal waits for a list that decides, without asking for one more often. A repeated or unanswered start is not sent while the run may have ended, since a later incarnation of the worker would run it again. The report says whether the worker may hold more ends, and the leader does not count such a run as stalled.

--- a/packages/bench/src/leader/fakeAgent.ts
+++ b/packages/bench/src/leader/fakeAgent.ts
@@ -122,6 +122,7 @@
       running: [...sampledTasks],
       ended: [...ended],
       rejected: [],
+      hasMoreEnds: false,
     })
   }
 
--- a/packages/experiment/src/fillers/worker.ts
+++ b/packages/experiment/src/fillers/worker.ts
@@ -274,6 +274,7 @@
         })),
         ended: [...ended],
         rejected: [],
+        hasMoreEnds: false,
       }
     },
     underTarget: () => {
--- a/packages/workflow-agent/__tests__/announcements.spec.ts
+++ b/packages/workflow-agent/__tests__/announcements.spec.ts
@@ -52,7 +52,8 @@
       if (worker.isMute) return { kind: 'unanswered' }
       if (id !== worker.id) return { kind: 'other-incarnation' }
       const clockMs = Math.round(performance.now())
-      return { kind: 'list', list: { bornMs: worker.bornMs, clockMs, running: [], ended: [] } }
+      const list = { bornMs: worker.bornMs, clockMs, running: [], ended: [], hasMoreEnds: false }
+      return { kind: 'list', list }
     },
   }
   return { worker, runner }
--- a/packages/workflow-agent/__tests__/lateOrders.spec.ts
+++ b/packages/workflow-agent/__tests__/lateOrders.spec.ts
@@ -121,7 +121,13 @@
       const clockMs = Math.round(performance.now())
       return {
         kind: 'list',
-        list: { bornMs: called.bornMs, clockMs, running, ended: called.ended },
+        list: {
+          bornMs: called.bornMs,
+          clockMs,
+          running,
+          ended: called.ended,
+          hasMoreEnds: false,
+        },
       }
     },
     pace: () => Promise.resolve('done'),
--- a/packages/workflow-agent/__tests__/leaderStream.spec.ts
+++ b/packages/workflow-agent/__tests__/leaderStream.spec.ts
@@ -32,6 +32,7 @@
   running: [],
   ended: [],
   rejected: [],
+  hasMoreEnds: false,
 }
 
 const REPORT_INTERVAL_MS = 200
--- a/packages/workflow-agent/__tests__/standInLeader.ts
+++ b/packages/workflow-agent/__tests__/standInLeader.ts
@@ -70,6 +70,9 @@
     stop: (): void => {
       send({ stops: [RUN] })
     },
+    withdraw: (): void => {
+      send({ withdrawals: [RUN] })
+    },
     pace: (percent: number): void => {
       send({ paces: [{ run: RUN, percent }] })
     },
--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -26,6 +26,9 @@
 const waitUntil = (check: () => boolean): Promise<unknown> =>
   vitest.vi.waitUntil(check, { timeout: WAIT_TIMEOUT_MS })
 
+/** Most ends in one list of the worker. */
+const MAX_LISTED_ENDS = 3
+
 /** Worker whose answers to starts are preset; the last one is repeated. */
 const createWorker = (answers: readonly runners.StartAnswer[]) => {
   const paces: number[] = []
@@ -64,7 +67,9 @@
       acknowledged.push([bornMs, acknowledgedEnd])
       const clockMs = Math.round(performance.now())
       const running = worker.isRunning ? [runningTask] : []
-      return { kind: 'list', list: { bornMs, clockMs, running, ended } }
+      const hasMoreEnds = ended.length >= MAX_LISTED_ENDS
+      const listed = ended.slice(0, MAX_LISTED_ENDS)
+      return { kind: 'list', list: { bornMs, clockMs, running, ended: listed, hasMoreEnds } }
     },
     pace: (_identity, _run, percent) => {
       if (worker.holdsNextPace) {
@@ -93,9 +98,9 @@
     applyHeldPaces: (): void => {
       paces.push(...heldPaces.splice(0))
     },
-    /** Ends another run, which lists show until its number is acknowledged. */
-    endRun: (number: number): void => {
-      const run = { ...RUN, index: number }
+    /** Ends a run, which lists show until its number is acknowledged; another run than `RUN` by default. */
+    endRun: (number: number, index = number): void => {
+      const run = { ...RUN, index }
       ended = [...ended, { number, end: { run, kind: EndKind.COMPLETED, checkpoint: '' } }]
     },
     crash: (): void => {
@@ -118,6 +123,8 @@
   }
 }
 
+type Leader = Awaited<ReturnType<typeof standInLeaders.createLeader>>
+
 const closers: (() => void)[] = []
 
 afterEach(() => {
@@ -308,6 +315,59 @@
     await waitUntil(() => worker.startCalls() === 2)
   })
 
+  // Guards against a second run of a task that has completed: the restarted agent knows only the worker's lists.
+  it.each([
+    {
+      name: 'a repeated start',
+      order: ({ start }: Leader) => {
+        start({ repeated: true })
+      },
+    },
+    {
+      name: 'a stop',
+      order: ({ stop }: Leader) => {
+        stop()
+      },
+    },
+    {
+      name: 'a withdrawal',
+      order: ({ withdraw }: Leader) => {
+        withdraw()
+      },
+    },
+  ])('does not reject a run after $name while its end waits behind others', async ({ order }) => {
+    const { leader, worker } = await createSubject([{ kind: 'refused', reason: 'old' }])
+    for (let number = 1; number <= MAX_LISTED_ENDS; number += 1) worker.endRun(number)
+    worker.endRun(MAX_LISTED_ENDS + 1, RUN.index)
+    await waitUntil(() => leader.reports.at(-1)?.ended.length === MAX_LISTED_ENDS)
+    expect(leader.reports.at(-1)?.hasMoreEnds).toBe(true)
+    order(leader)
+    await timers.setTimeout(SETTLE_MS)
+    leader.commit(MAX_LISTED_ENDS)
+    await waitUntil(() => leader.reports.at(-1)?.ended[0]?.end?.run?.index === RUN.index)
+    expect(leader.reports.at(-1)?.hasMoreEnds).toBe(false)
+    leader.commit(MAX_LISTED_ENDS + 1)
+    await waitUntil(() => leader.reports.at(-1)?.ended.length === 0)
+    await timers.setTimeout(SETTLE_MS)
+    expect(leader.reports.flatMap(({ rejected }) => rejected)).toEqual([])
+    expect(worker.startCalls()).toBe(0)
+  })
+
+  it('guards against a busy loop of list calls while the end of a run waits behind others', async () => {
+    const { leader, worker } = await createSubject([{ kind: 'started' }])
+    for (let number = 1; number <= MAX_LISTED_ENDS; number += 1) worker.endRun(number)
+    await waitUntil(() => leader.reports.at(-1)?.hasMoreEnds === true)
+    leader.stop()
+    await timers.setTimeout(SETTLE_MS)
+    const calls = worker.acknowledgedEnds.length
+    const sinceMs = performance.now()
+    await timers.setTimeout(SETTLE_MS)
+    const due = 1 + (performance.now() - sinceMs) / LIST_INTERVAL_MS
+    expect(worker.acknowledgedEnds.length - calls).toBeLessThanOrEqual(due)
+    leader.commit(MAX_LISTED_ENDS)
+    await waitUntil(() => leader.reports.some(({ rejected }) => rejected.length > 0))
+  })
+
   it('guards against an odd end number that would acknowledge ends that are yet to come', async () => {
     const { leader, worker } = await createSubject([{ kind: 'started' }])
     worker.endRun(1)
--- a/packages/workflow-agent/src/runTable.ts
+++ b/packages/workflow-agent/src/runTable.ts
@@ -33,6 +33,11 @@
   isRefused: boolean
 }
 
+/** List of the worker as the table reads it. */
+export interface TableList extends Pick<workflowState.ListedRuns, 'stateOf'> {
+  readonly clockMs: number
+}
+
 export interface RunTableOptions {
   readonly identity: protocol.workflow.WorkerIdentity
   readonly runner: runners.Runner
@@ -47,7 +52,7 @@
    */
   readonly isResponsive: () => boolean
   /** Resolves with the first list that is requested after this call; undefined if the table was closed. */
-  readonly nextList: () => Promise<runners.WorkerList | undefined>
+  readonly nextList: () => Promise<TableList | undefined>
   readonly onRejected: (rejection: protocol.workflow.Rejection) => void
   /** A run was started; its pace may differ from the ordered pace. */
   readonly onStarted: (entry: RunEntry) => void
@@ -63,7 +68,7 @@
   /** Prevents the start of a run, unless the worker's next list shows it as running. */
   readonly withdrawStart: (run: TaskRun) => void
   /** Removes runs that a list shows as ended, and marks those that it shows as running. */
-  readonly applyList: (list: runners.WorkerList) => void
+  readonly applyList: (list: TableList) => void
   /**
    * Drops start orders whose outcome is open. The leader of a new stream repeats those that are still valid; the other
    * runs may have been counted as lost in the meantime.
@@ -73,21 +78,13 @@
   readonly close: () => void
 }
 
-const isListedAsRunning = (list: runners.WorkerList, run: TaskRun): boolean => {
-  const key = workflowState.runKey(run)
-  return list.running.some((task) => task.run && workflowState.runKey(task.run) === key)
-}
-
-const isListedAsEnded = (list: runners.WorkerList, run: TaskRun): boolean => {
-  const key = workflowState.runKey(run)
-  return list.ended.some(({ end }) => end?.run && workflowState.runKey(end.run) === key)
-}
-
 export const createRunTable = (options: RunTableOptions): RunTable => {
   const { identity, runner, logger } = options
   const entries = new Map<string, RunEntry>()
   const stopping = new Set<string>()
-  let latestList: runners.WorkerList | undefined
+  /** Waiters for the next list that the worker sends without being asked again. */
+  const followingWaiters: (() => void)[] = []
+  let latestList: TableList | undefined
   let closed = false
 
   const reject = (run: TaskRun, reason: protocol.workflow.RejectionReason): void => {
@@ -99,25 +96,50 @@
 
   /** Whether the latest list is newer than `clockMs` on the worker's clock and does not show the run as running. */
   const isAbsentAfter = (clockMs: number, run: TaskRun): boolean =>
-    latestList !== undefined && latestList.clockMs > clockMs && !isListedAsRunning(latestList, run)
+    latestList !== undefined &&
+    latestList.clockMs > clockMs &&
+    latestList.stateOf(workflowState.runKey(run)) !== 'running'
 
   /** Whether a newer call of this agent carries a higher fence, so that a refusal says nothing about the leader. */
   const isOvertaken = (fence: number): boolean => fence < options.fence()
 
-  /** Waits until the run is not listed as running, then rejects it unless the worker lists its end. */
+  /**
+   * Resolves with the list that follows the latest one; undefined if the table was closed. It requests none: the worker
+   * lists further ends only once the leader has acknowledged the earlier ones.
+   */
+  const followingList = async (): Promise<TableList | undefined> => {
+    await new Promise<void>((resolve) => {
+      followingWaiters.push(resolve)
+    })
+    return closed ? undefined : latestList
+  }
+
+  const resumeFollowingWaiters = (): void => {
+    for (const resume of followingWaiters.splice(0)) resume()
+  }
+
+  /** Rejects the run once a list shows it as absent; does nothing if a list shows its end. */
   const rejectOnceAbsent = async (
     run: TaskRun,
     reason: protocol.workflow.RejectionReason,
   ): Promise<void> => {
-    for (;;) {
-      const list = await options.nextList()
-      if (list === undefined || closed) return
-      if (isListedAsEnded(list, run)) return
-      if (!isListedAsRunning(list, run)) {
-        reject(run, reason)
-        return
+    const key = workflowState.runKey(run)
+    let list = await options.nextList()
+    while (list !== undefined && !closed) {
+      switch (list.stateOf(key)) {
+        case 'ended':
+          return
+        case 'absent':
+          reject(run, reason)
+          return
+        case 'running':
+          await timers.setTimeout(RETRY_DELAY_MS)
+          list = await options.nextList()
+          break
+        case 'unknown':
+          list = await followingList()
+          break
       }
-      await timers.setTimeout(RETRY_DELAY_MS)
     }
   }
 
@@ -172,15 +194,25 @@
     for (;;) {
       if (closed || entry.started || entry.stopRequested || isDropped()) return
       // An earlier agent process started it; a refusal of the repeated order would stop a run at work.
-      if (latestList !== undefined && isListedAsRunning(latestList, run)) {
+      const listedState = latestList?.stateOf(key)
+      if (listedState === 'running') {
         entry.started = true
         options.onStarted(entry)
         return
       }
+      if (listedState === 'ended') {
+        entries.delete(key)
+        return
+      }
       if (!options.mayStart()) {
         await refuse(RejectionReason.UNAVAILABLE)
         return
       }
+      // The run may have ended. A later incarnation of the worker, which does not know that, would run it again.
+      if (isOutcomeUncertain && listedState === 'unknown') {
+        if ((await followingList()) === undefined) return
+        continue
+      }
       if (isUnanswered || !options.isResponsive()) {
         // A later incarnation would carry out the order with a lease on its own clock, unknown to the leader.
         if ((await options.nextList()) === undefined) return
@@ -246,15 +278,16 @@
     run: TaskRun,
     entry: RunEntry | undefined,
   ): Promise<void> => {
+    const key = workflowState.runKey(run)
     const list = await options.nextList()
     if (list === undefined || closed) return
-    if (isListedAsRunning(list, run)) {
+    const listedState = list.stateOf(key)
+    if (listedState === 'running') {
       if (entry !== undefined) Object.assign(entry, { started: true, stopRequested: false })
       return
     }
-    if (!isListedAsEnded(list, run))
-      await withdraw(run, RejectionReason.ABSENT, entry !== undefined)
-    entries.delete(workflowState.runKey(run))
+    if (listedState !== 'ended') await withdraw(run, RejectionReason.ABSENT, entry !== undefined)
+    entries.delete(key)
   }
 
   return {
@@ -300,13 +333,12 @@
     },
     applyList: (list) => {
       latestList = list
-      for (const { end } of list.ended) {
-        if (end?.run !== undefined) entries.delete(workflowState.runKey(end.run))
-      }
-      for (const { run } of list.running) {
-        const entry = run && entries.get(workflowState.runKey(run))
-        if (entry !== undefined) entry.started = true
+      for (const [key, entry] of entries) {
+        const listedState = list.stateOf(key)
+        if (listedState === 'ended') entries.delete(key)
+        else if (listedState === 'running') entry.started = true
       }
+      resumeFollowingWaiters()
     },
     dropOpenOrders: () => {
       for (const [key, { started, stopRequested, isRefused }] of entries) {
@@ -317,6 +349,7 @@
     close: () => {
       closed = true
       entries.clear()
+      resumeFollowingWaiters()
     },
   }
 }
--- a/packages/workflow-agent/src/runner.ts
+++ b/packages/workflow-agent/src/runner.ts
@@ -1,5 +1,6 @@
 /** Interface of the agent's worker; an adapter implements it for the platform's protocol. */
 import type * as protocol from '@ebonyweir/protocol'
+import type * as workflowState from '@ebonyweir/workflow-state'
 
 type TaskRun = protocol.workflow.TaskRun
 type WorkerIdentity = protocol.workflow.WorkerIdentity
@@ -38,12 +39,10 @@
 
 export type OrderAnswer = 'done' | 'fence' | 'other-incarnation' | 'unanswered' | 'not-sent'
 
-/** Active runs of a worker, and its ends that are not acknowledged yet. */
-export interface WorkerList {
+/** Answer of a worker to a list call. */
+export interface WorkerList extends workflowState.RunLists {
   readonly bornMs: number
   readonly clockMs: number
-  readonly running: readonly protocol.workflow.RunningTask[]
-  readonly ended: readonly protocol.workflow.ListedEnd[]
 }
 
 export type ListAnswer =
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -79,9 +79,9 @@
   /** Lists in a row that came from an earlier incarnation than this one. */
   earlierLists: number
   ended: boolean
-  readonly listWaiters: ((list: runners.WorkerList | undefined) => void)[]
+  readonly listWaiters: ((list: runTables.TableList | undefined) => void)[]
   /** Waiters whose list call is in progress. */
-  readonly inProgressWaiters: ((list: runners.WorkerList | undefined) => void)[]
+  readonly inProgressWaiters: ((list: runTables.TableList | undefined) => void)[]
 }
 
 interface SentRejection {
@@ -125,6 +125,7 @@
       running: (list?.running ?? []).map((task) => withPace(task, incarnation?.table)),
       ended: list?.ended ?? [],
       rejected: rejections.map(({ rejection }) => rejection),
+      hasMoreEnds: list?.hasMoreEnds ?? true,
     })
     if (!sent) return
     for (const entry of rejections) {
@@ -228,8 +229,10 @@
     current.list = list
     current.isResponsive = true
     current.sample += 1
-    current.table.applyList(list)
-    for (const waiter of current.inProgressWaiters.splice(0)) waiter(list)
+    const { stateOf } = workflowState.createListedRuns(list)
+    const tableList = { clockMs: list.clockMs, stateOf }
+    current.table.applyList(tableList)
+    for (const waiter of current.inProgressWaiters.splice(0)) waiter(tableList)
     void current.paces.apply(list)
     report()
   }
--- a/packages/workflow-control/__tests__/grpcServer.spec.ts
+++ b/packages/workflow-control/__tests__/grpcServer.spec.ts
@@ -115,6 +115,7 @@
         running: [],
         ended: [],
         rejected: [],
+        hasMoreEnds: false,
       })
     }
     return { received, report }
--- a/packages/workflow-control/__tests__/leaderTerm.spec.ts
+++ b/packages/workflow-control/__tests__/leaderTerm.spec.ts
@@ -6,6 +6,12 @@
 const { EndKind, RejectionReason } = protocol.workflow
 const { MAX_STREAM_NUMBER } = protocol.fencing
 
+/** List without a run, of a worker that holds further ends. */
+const MORE_ENDS: harnesses.ReportFields = {
+  ended: [[1, 'x.0.0.0#1', EndKind.COMPLETED]],
+  hasMoreEnds: true,
+}
+
 let harness: ReturnType<typeof harnesses.createTermHarness>
 
 beforeEach(() => {
@@ -397,6 +403,49 @@
     expect(other.starts()).toEqual(['j.0.0.0#2'])
   })
 
+  // Guards against a stop of a run that has ended: no list shows its progress while its end waits behind others.
+  it.each<{
+    readonly name: string
+    readonly fields: harnesses.ReportFields
+    readonly stops: readonly string[]
+  }>([
+    { name: 'of a run that has ended behind the listed ends', fields: MORE_ENDS, stops: [] },
+    { name: 'of a run that a list does not contain', fields: {}, stops: ['j.0.0.0#1'] },
+  ])('takes missing progress $name into account', async ({ fields, stops }) => {
+    const agent = harness.attach('w')
+    agent.report()
+    harness.submit('j', [{}])
+    await settle()
+    agent.report({ running: ['j.0.0.0#1'], percent: 5 })
+    for (let passedMs = 0; passedMs < 4_800; passedMs += 400) {
+      agent.report(fields)
+      await harness.pass(400)
+    }
+    expect(agent.stops()).toEqual(stops)
+    agent.report({ ended: [[501, 'j.0.0.0#1', EndKind.COMPLETED]] })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'completed', run: 1 })
+  })
+
+  it('guards against a new leader that ends a run whose end waits behind the listed ones', async () => {
+    const before = harness.attach('w')
+    before.report()
+    harness.submit('j', [{}])
+    await settle()
+    harness.changeLeader()
+    const agent = harness.attach('w')
+    for (let passedMs = 0; passedMs < 4_800; passedMs += 400) {
+      agent.report(MORE_ENDS)
+      await harness.pass(400)
+    }
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'assigned', run: 1 })
+    expect(agent.stops()).toEqual([])
+    expect(agent.repeatedStarts()).toEqual(['j.0.0.0#1'])
+    agent.report({ ended: [[501, 'j.0.0.0#1', EndKind.COMPLETED]] })
+    await settle()
+    expect(harness.task('j.0.0.0')).toMatchObject({ phase: 'completed', run: 1 })
+  })
+
   it.each([
     { name: 'moves long-running tasks off a draining worker', step: { lasting: true }, stops: 1 },
     {
--- a/packages/workflow-control/__tests__/termHarness.ts
+++ b/packages/workflow-control/__tests__/termHarness.ts
@@ -37,6 +37,8 @@
   /** Progress of single runs, by run key; `percent` for the others. */
   readonly percents?: Readonly<Record<string, number>>
   readonly ended?: readonly (readonly [number, string, protocol.workflow.EndKind])[]
+  /** Whether the worker may hold ends after the listed ones. */
+  readonly hasMoreEnds?: boolean
   readonly rejected?: readonly (readonly [string, protocol.workflow.RejectionReason])[]
   readonly draining?: boolean
   readonly drainRemainingMs?: number
@@ -199,6 +201,7 @@
           run: parseRun(key),
           reason,
         })),
+        hasMoreEnds: fields.hasMoreEnds ?? false,
       })
     }
     return {
--- a/packages/workflow-control/src/leaderTerm.ts
+++ b/packages/workflow-control/src/leaderTerm.ts
@@ -559,7 +559,10 @@
       durations.longestMs(active.step),
     )
     if (!scheduling.isStalled(last, expectedMs, session.listedMs)) return false
-    stalledRuns.add(workflowState.runKey(runLabels.runOf(active)))
+    const key = workflowState.runKey(runLabels.runOf(active))
+    // Lists show no progress of a run that has ended; its end may wait at the worker behind others.
+    if (['ended', 'unknown'].includes(session.stateOf(key))) return false
+    stalledRuns.add(key)
     return true
   }
 
--- a/packages/workflow-control/src/workerSession.ts
+++ b/packages/workflow-control/src/workerSession.ts
@@ -35,6 +35,8 @@
   readonly listedMs: number | undefined
   /** Running tasks of the newest run list by run key. */
   readonly running: ReadonlyMap<string, protocol.workflow.RunningTask>
+  /** State of the run with a run key in the newest run list. */
+  readonly stateOf: (key: string) => workflowState.ListedState
   /** Applies a report; returns whether its run list is the first of this identity on this stream, a newer one or not new. */
   readonly update: (report: protocol.workflow.WorkerReport) => 'first' | 'new' | 'same'
   /** Allows the agent to forget the ends up to `number` of the incarnation `key`. */
@@ -63,7 +65,7 @@
   let drainRemainingMs = 0
   let sample = 0
   let listedMs: number | undefined
-  let running: ReadonlyMap<string, protocol.workflow.RunningTask> = new Map()
+  let listed = workflowState.NO_LISTED_RUNS
   let acknowledgedEnd = 0
   /** Times of the latest stop orders and withdrawals by run key. */
   let stoppedMs = new Map<string, number>()
@@ -94,7 +96,7 @@
     key = next
     sample = 0
     listedMs = undefined
-    running = new Map()
+    listed = workflowState.NO_LISTED_RUNS
     acknowledgedEnd = 0
     stoppedMs = new Map()
     withdrawnMs = new Map()
@@ -111,9 +113,7 @@
     const isFirst = sample === 0
     sample = report.sample
     listedMs = nowMs()
-    running = new Map(
-      report.running.flatMap((task) => (task.run ? [[workflowState.runKey(task.run), task]] : [])),
-    )
+    listed = workflowState.createListedRuns(report)
     return isFirst ? 'first' : 'new'
   }
 
@@ -164,8 +164,9 @@
       return listedMs
     },
     get running() {
-      return running
+      return listed.running
     },
+    stateOf: (key) => listed.stateOf(key),
     update,
     acknowledge: (incarnationKey, number) => {
       if (incarnationKey !== key || number <= acknowledgedEnd) return
