feat(workflow-agent): lists that do not contain all ends are logged and counted

A run whose end waits behind the 500 listed ones stays undecided until the earlier ends are acknowledged, and neither logs nor metrics showed that.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -336,7 +336,7 @@
       },
     },
   ])('does not reject a run after $name while its end waits behind others', async ({ order }) => {
-    const { leader, worker } = await createSubject([{ kind: 'refused', reason: 'old' }])
+    const { agent, leader, worker } = await createSubject([{ kind: 'refused', reason: 'old' }])
     for (let number = 1; number <= MAX_LISTED_ENDS; number += 1) worker.endRun(number)
     worker.endRun(MAX_LISTED_ENDS + 1, RUN.index)
     await waitUntil(() => leader.reports.at(-1)?.ended.length === MAX_LISTED_ENDS)
@@ -346,11 +346,14 @@
     leader.commit(MAX_LISTED_ENDS)
     await waitUntil(() => leader.reports.at(-1)?.ended[0]?.end?.run?.index === RUN.index)
     expect(leader.reports.at(-1)?.hasMoreEnds).toBe(false)
+    const incompleteLists = agent.incompleteLists()
+    expect(incompleteLists).toBeGreaterThan(0)
     leader.commit(MAX_LISTED_ENDS + 1)
     await waitUntil(() => leader.reports.at(-1)?.ended.length === 0)
     await timers.setTimeout(SETTLE_MS)
     expect(leader.reports.flatMap(({ rejected }) => rejected)).toEqual([])
     expect(worker.startCalls()).toBe(0)
+    expect(agent.incompleteLists()).toBe(incompleteLists)
   })
 
   it('guards against a busy loop of list calls while the end of a run waits behind others', async () => {
--- a/packages/workflow-agent/src/workerAgent.ts
+++ b/packages/workflow-agent/src/workerAgent.ts
@@ -56,6 +56,8 @@
   readonly isAttached: () => boolean
   /** Announcements of incarnations that the worker's own answers ruled out, since the start. */
   readonly refutedAnnouncements: () => number
+  /** Lists of the followed incarnations that did not contain all of their ends, since the start. */
+  readonly incompleteLists: () => number
   readonly start: () => void
   readonly stop: () => void
 }
@@ -106,6 +108,7 @@
   let reportedMs = 0
   let stopped = true
   let rejections: SentRejection[] = []
+  let incompleteLists = 0
   let reportTimer: NodeJS.Timeout | undefined
 
   const report = (): void => {
@@ -226,6 +229,7 @@
       return
     }
     current.earlierLists = 0
+    trackCompleteness(current, list)
     current.list = list
     current.isResponsive = true
     current.sample += 1
@@ -252,6 +256,20 @@
     return plausible
   }
 
+  /** Counts lists that do not contain all ends, and logs the first one and the first complete one of each series. */
+  const trackCompleteness = (current: WorkerIncarnation, list: runners.WorkerList): void => {
+    if (list.hasMoreEnds) incompleteLists += 1
+    if (list.hasMoreEnds === (current.list?.hasMoreEnds ?? false)) return
+    const message = list.hasMoreEnds ? 'list of ends incomplete' : 'list of ends complete again'
+    const { id } = current.announcement.worker.identity
+    logger.info(message, {
+      worker: id,
+      listed: list.ended.length,
+      firstEnd: list.ended[0]?.number,
+      acknowledgedEnd: current.acknowledgedEnd,
+    })
+  }
+
   /** Handles a list; an error ends the handling of this list only. */
   const followList = (current: WorkerIncarnation, list: runners.WorkerList): void => {
     const ended = plausibleEnds(current, list.ended)
@@ -467,6 +485,7 @@
     },
     isAttached: () => stream.isAttached(),
     refutedAnnouncements: probe.refutedCount,
+    incompleteLists: () => incompleteLists,
     start: () => {
       stopped = false
       stream.start()
--- a/packages/workflow-control/src/endNumbers.ts
+++ b/packages/workflow-control/src/endNumbers.ts
@@ -7,7 +7,7 @@
   readonly acknowledged: number
   /**
    * Marks listed numbers that are neither settled nor being committed as committing, and returns them. A list contains
-   * every end that the worker has not forgotten, so a number that it skips is not open.
+   * the first ends that the worker has not forgotten, so a number that it skips between two listed ones is not open.
    */
   readonly take: (listed: readonly number[]) => ReadonlySet<number>
   /** Marks ends as settled: recorded, or certainly without effect. */
