test(workflow-agent): the order of a best-effort task precedes its listing

The stand-in listed the run as running before the leader ordered it. If a list arrived between the two, the agent took the run for one that an earlier agent process had started and sent no start, as it should.

With a pause of 100 ms between the two lines the test fails in the same place on and on. The order now comes first, and the test waits until the leader has received a list with the run; the checks are the same.

--- a/packages/workflow-agent/__tests__/workerAgent.spec.ts
+++ b/packages/workflow-agent/__tests__/workerAgent.spec.ts
@@ -197,9 +197,10 @@
 
   it('guards against a best-effort task that keeps the pace of a delayed call', async () => {
     const { leader, worker } = await createSubject([{ kind: 'started' }])
-    worker.listAsRunning()
     leader.start({ filling: true })
     await waitUntil(() => worker.startCalls() === 1)
+    worker.listAsRunning()
+    await waitUntil(() => leader.reports.at(-1)?.running.length === 1)
     worker.holdNextPace()
     leader.pace(0)
     await waitUntil(() => worker.heldPaces.length === 1)
