test(model-check): a repeated order is refused while the end of its run waits behind others

With the new guard `awaitAllEnds` off the agent sees none of them when it decides about a refused order: the model finds a trace of a killed agent, a completed run and a second start.

--- a/packages/model-check/src/runModel.ts
+++ b/packages/model-check/src/runModel.ts
@@ -156,7 +156,8 @@
     { run, uncertain }: runState.RunOrder,
   ): ModelState => {
     // The agent lists the worker's runs first; it does not refuse a run that is running or has ended there.
-    const knownRuns = [...worker.running, ...worker.ends.map((listed) => listed.run)]
+    const listedEnds = guards.awaitAllEnds ? worker.ends : []
+    const knownRuns = [...worker.running, ...listedEnds.map((listed) => listed.run)]
     if (knownRuns.some((other) => isSameRun(run, other))) return state
     const barred =
       uncertain && guards.barUncertainOrders
--- a/packages/model-check/src/runModelState.ts
+++ b/packages/model-check/src/runModelState.ts
@@ -29,6 +29,8 @@
   readonly barCancelledRuns: boolean
   /** The leader does not repeat orders of a cancelled job. */
   readonly skipCancelledJobs: boolean
+  /** An agent takes a run for one that never ran here only by a list of the worker that contains all of its ends. */
+  readonly awaitAllEnds: boolean
   /**
    * The fencing token of an agent rises after an order without an answer, after a restart, and before a call that may reach
    * another incarnation. Off beside leaders and agents of earlier versions, so the other guards must hold without it.
@@ -48,6 +50,7 @@
   skipRejectedRuns: true,
   barCancelledRuns: true,
   skipCancelledJobs: true,
+  awaitAllEnds: true,
   raiseToken: true,
 }
 
--- a/packages/model-check/src/runScenarios.ts
+++ b/packages/model-check/src/runScenarios.ts
@@ -74,6 +74,11 @@
     budget: { ...NO_FAULTS, leaderChanges: 1, cancels: 1 },
     hasStreams: true,
   },
+  {
+    name: 'a repeated order is refused while the end of its run waits behind others',
+    protection: 'awaitAllEnds',
+    budget: { ...NO_FAULTS, agentRestarts: 1, refusals: 1 },
+  },
   {
     name: 'a copy of an order reaches the next incarnation after its agent called it',
     protection: 'raiseToken',
